--- /dev/null
+++ b/foxtailreach/__main__.py
@@ -0,0 +1,164 @@
+"""Command line: each command or query is one module of its own."""
+
+from __future__ import annotations
+
+import json
+import sys
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from foxtailreach.config.defaults import HostSettings
+from foxtailreach.daemon.platform import PlatformAddress
+from foxtailreach.exceptions import FoxtailreachError
+
+app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    add_completion=False,
+    help='A proxy fleet for targets with gray failures.',
+)
+
+SettingsOption = Annotated[
+    Path,
+    typer.Option('--settings', help='TOML file with the settings of a host.'),
+]
+PathsArgument = Annotated[
+    list[Path],
+    typer.Argument(help='TOML files with named objects.'),
+]
+
+
+class Deployment(StrEnum):
+    """Ready configurations of the demonstration."""
+
+    SCARA = 'scara'
+    TECHO = 'techo'
+
+
+class DomainState(StrEnum):
+    """Whether a failure domain takes work."""
+
+    ACTIVE = 'active'
+    OUT = 'out'
+
+
+class TargetState(StrEnum):
+    """Whether a target takes new work."""
+
+    ACTIVE = 'active'
+    DRAINING = 'draining'
+
+
+@app.command()
+def serve(settings: SettingsOption) -> None:
+    """Run one entry host until SIGTERM."""
+    from foxtailreach.commands.serve import serve as run
+
+    run(settings)
+
+
+@app.command()
+def publish(settings: SettingsOption, paths: PathsArgument) -> None:
+    """Publish named objects as one change set."""
+    from foxtailreach.commands.publish import publish_files
+
+    version = publish_files(_platform(settings), paths)
+    typer.echo(f'published as version {version}')
+
+
+@app.command()
+def check(
+    paths: PathsArgument,
+    settings: Annotated[
+        Path | None,
+        typer.Option(help='Check on top of what is published.'),
+    ] = None,
+) -> None:
+    """Check named objects without publishing them."""
+    from foxtailreach.queries.check import check_files
+
+    address = None if settings is None else _platform(settings)
+    check_files(paths, address)
+    typer.echo('no faults')
+
+
+@app.command('issue-key')
+def issue_key(settings: SettingsOption, name: str, customer: str) -> None:
+    """Create a key for a customer and print its secret once."""
+    from foxtailreach.commands.edits import issue_key as issue
+
+    typer.echo(issue(_platform(settings), name, customer))
+
+
+@app.command('withdraw-key')
+def withdraw_key(settings: SettingsOption, name: str) -> None:
+    """Withdraw a key on every host."""
+    from foxtailreach.commands.edits import withdraw_key as withdraw
+
+    version = withdraw(_platform(settings), name)
+    typer.echo(f'published as version {version}')
+
+
+@app.command('set-domain')
+def set_domain(settings: SettingsOption, name: str, state: DomainState) -> None:
+    """Take a failure domain out, or return it."""
+    from foxtailreach.commands.edits import set_domain as change
+
+    version = change(_platform(settings), name, state.value)
+    typer.echo(f'published as version {version}')
+
+
+@app.command('set-target')
+def set_target(settings: SettingsOption, name: str, state: TargetState) -> None:
+    """Drain a target, or return it."""
+    from foxtailreach.commands.edits import set_target as change
+
+    version = change(_platform(settings), name, state.value)
+    typer.echo(f'published as version {version}')
+
+
+@app.command()
+def status(
+    admin_port: int,
+    address: Annotated[str, typer.Option()] = '127.0.0.1',
+) -> None:
+    """Show the status of a running host."""
+    from foxtailreach.queries.status import fetch_status
+
+    typer.echo(json.dumps(fetch_status(address, admin_port), indent=2))
+
+
+@app.command()
+def demo(
+    deployment: Deployment = Deployment.SCARA,
+    as_json: Annotated[bool, typer.Option('--json')] = False,
+) -> None:
+    """Run callers, hosts and targets with faults, and check the outcomes."""
+    from foxtailreach.demo.run import run_demo
+
+    run_demo(deployment.value, as_json=as_json)
+
+
+def _platform(settings_path: Path) -> PlatformAddress:
+    section = HostSettings.from_toml(settings_path).platform
+    return PlatformAddress(
+        str(section.address),
+        section.port,
+        section.timeout_ms,
+    )
+
+
+def main() -> None:
+    """Run the command line; an expected error is one line."""
+    try:
+        app()
+    except FoxtailreachError as error:
+        typer.echo(f'error: {error}', err=True)
+        sys.exit(error.exit_code)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/foxtailreach/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Repeatable measurements, most of them in virtual time."""
--- /dev/null
+++ b/foxtailreach/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: they change something outside this process."""
--- /dev/null
+++ b/foxtailreach/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process and the named objects of a configuration."""
--- /dev/null
+++ b/foxtailreach/config/faults.py
@@ -0,0 +1,44 @@
+"""Faults found in user input, one line each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pydantic import ValidationError
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """One fault: the key, what was found and what is allowed."""
+
+    key: str
+    found: str
+    allowed: str
+
+    @classmethod
+    def from_validation(cls, error: ValidationError) -> list[Fault]:
+        """List the faults of a pydantic validation error."""
+        return [
+            cls(
+                key='.'.join(str(part) for part in detail['loc']),
+                found=_describe_found(detail['type'], detail['input']),
+                allowed=detail['msg'],
+            )
+            for detail in error.errors()
+        ]
+
+    def __str__(self) -> str:
+        """Format the fault as one line."""
+        return f'{self.key}: found {self.found}; {self.allowed}'
+
+
+def describe_faults(faults: Iterable[Fault]) -> str:
+    """Join faults into one line for a terminal."""
+    return ' | '.join(str(fault) for fault in faults)
+
+
+def _describe_found(kind: str, found: object) -> str:
+    if kind in {'missing', 'missing_argument'}:
+        return 'nothing'
+    return repr(found)
--- /dev/null
+++ b/foxtailreach/config/objects.py
@@ -0,0 +1,149 @@
+"""Named objects that operators publish, and the change sets that carry them.
+
+Every object is an immutable slotted dataclass. References between objects
+are names; `foxtailreach.config.checks` verifies them as a whole.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, Self
+
+from pydantic import ConfigDict, Field, TypeAdapter
+from pydantic.dataclasses import dataclass
+from pydantic.networks import IPvAnyAddress
+
+from foxtailreach.config.defaults import Name, Port
+
+_CONFIG = ConfigDict(extra='forbid')
+
+IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class FailureDomain:
+    """A failure domain; `out` stops all new work in it."""
+
+    state: Literal['active', 'out'] = 'active'
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class Service:
+    """A set of interchangeable targets."""
+
+    floor_percent: Annotated[int, Field(ge=0, le=100)] = 50
+    cold_slots: Annotated[int, Field(ge=1, le=1024)] = 1
+    cold_idle_ms: Annotated[int, Field(ge=1000)] = 600_000
+    max_queue_ms: Annotated[int, Field(ge=0, le=60_000)] = 500
+    shed_statuses: tuple[Annotated[int, Field(ge=400, le=599)], ...] = ()
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class Target:
+    """One back-end process of a service."""
+
+    service: Name
+    domain: Name
+    address: IPvAnyAddress
+    port: Port
+    slots: Annotated[int, Field(ge=1, le=1024)] = 1
+    state: Literal['active', 'draining'] = 'active'
+    generation: Annotated[int, Field(ge=0)] = 0
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class Route:
+    """A path prefix that leads to a service."""
+
+    service: Name
+    path_prefix: Annotated[str, Field(pattern='^/')]
+    open: bool = False
+    duration: Literal['short', 'long'] = 'short'
+    timeout_ms: Annotated[int, Field(ge=10, le=600_000)] = 10_000
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class Limit:
+    """A token bucket: sustained rate and burst, fleet-wide."""
+
+    rate_per_s: Annotated[int, Field(ge=1)]
+    burst_requests: Annotated[int, Field(ge=1)]
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class Customer:
+    """A paying party; `limit` names its token bucket."""
+
+    limit: Name
+    weight: Annotated[int, Field(ge=1, le=1000)] = 1
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class Key:
+    """A caller's credential, stored only as a SHA-256 digest (hex)."""
+
+    customer: Name
+    digest_sha256: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+
+
+@dataclass(slots=True, config=_CONFIG)
+class Objects:
+    """Objects by kind and name; a change set's upserts."""
+
+    domains: dict[Name, FailureDomain] = Field(default_factory=dict)
+    services: dict[Name, Service] = Field(default_factory=dict)
+    targets: dict[Name, Target] = Field(default_factory=dict)
+    routes: dict[Name, Route] = Field(default_factory=dict)
+    limits: dict[Name, Limit] = Field(default_factory=dict)
+    customers: dict[Name, Customer] = Field(default_factory=dict)
+    keys: dict[Name, Key] = Field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class Removals:
+    """Names of objects that a change set deletes, by kind."""
+
+    domains: tuple[Name, ...] = ()
+    services: tuple[Name, ...] = ()
+    targets: tuple[Name, ...] = ()
+    routes: tuple[Name, ...] = ()
+    limits: tuple[Name, ...] = ()
+    customers: tuple[Name, ...] = ()
+    keys: tuple[Name, ...] = ()
+
+
+@dataclass(slots=True, frozen=True, config=_CONFIG)
+class ChangeSet:
+    """One atomic change, accepted only on top of `base_version`."""
+
+    change_id: Annotated[str, Field(min_length=1, max_length=64)]
+    base_version: Annotated[int, Field(ge=0)]
+    upserts: Objects = Field(default_factory=Objects)
+    removals: Removals = Field(default_factory=Removals)
+
+    @classmethod
+    def replacing(
+        cls,
+        objects: Objects,
+        removals: dict[str, tuple[str, ...]],
+    ) -> Self:
+        """Build the change that turns a configuration into `objects`."""
+        return cls(
+            change_id='snapshot',
+            base_version=0,
+            upserts=objects,
+            removals=Removals(**removals),
+        )
+
+
+KINDS = (
+    'domains',
+    'services',
+    'targets',
+    'routes',
+    'limits',
+    'customers',
+    'keys',
+)
+CHANGE_SET = TypeAdapter(ChangeSet)
+OBJECTS = TypeAdapter(Objects)
+REMOVALS = TypeAdapter(Removals)
--- /dev/null
+++ b/foxtailreach/core/crashes.py
@@ -0,0 +1,59 @@
+"""Quarantine of requests that crash the targets that run them."""
+
+from __future__ import annotations
+
+from foxtailreach.core.messages import CrashRumor
+from foxtailreach.core.units import MINUTE_US
+
+QUARANTINE_US = 10 * MINUTE_US
+QUARANTINE_TARGETS = 2
+
+
+class CrashLedger:
+    """Targets lost per request fingerprint, as known to this host."""
+
+    __slots__ = ('_expires_us', '_lost', '_seen')
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._lost: dict[int, set[str]] = {}
+        self._expires_us: dict[int, int] = {}
+        self._seen: dict[str, int] = {}
+
+    def absorb(self, rumor: CrashRumor, now_us: int) -> bool:
+        """Apply a report; false if it is already known."""
+        if rumor.report_id in self._seen:
+            return False
+        self._seen[rumor.report_id] = now_us
+        if rumor.target:
+            lost = self._lost.setdefault(rumor.fingerprint, set())
+            lost.add(rumor.target)
+            self._expires_us[rumor.fingerprint] = now_us + QUARANTINE_US
+        else:
+            self._forget(rumor.fingerprint)
+        return True
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Whether any target was lost to this fingerprint."""
+        return fingerprint in self._lost
+
+    def is_quarantined(self, fingerprint: int) -> bool:
+        """Whether enough targets were lost to refuse this fingerprint."""
+        lost = self._lost.get(fingerprint, ())
+        return len(lost) >= QUARANTINE_TARGETS
+
+    def expire(self, now_us: int) -> None:
+        """Forget reports that are older than the quarantine."""
+        for fingerprint, expires_us in list(self._expires_us.items()):
+            if expires_us <= now_us:
+                self._forget(fingerprint)
+        horizon_us = now_us - QUARANTINE_US
+        self._seen = {
+            report_id: seen_us
+            for report_id, seen_us in self._seen.items()
+            if seen_us > horizon_us
+        }
+
+    def _forget(self, fingerprint: int) -> None:
+        self._lost.pop(fingerprint, None)
+        self._expires_us.pop(fingerprint, None)
--- /dev/null
+++ b/foxtailreach/core/effects.py
@@ -0,0 +1,122 @@
+"""Outputs of a node, carried out by the daemon or a test driver."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from foxtailreach.core.messages import PeerMessage, RequestHead, Rumor
+from foxtailreach.core.verdict import Refusal, Verdict
+
+
+@dataclass(slots=True, frozen=True)
+class SendPeer:
+    """Send a message to another host."""
+
+    host_id: str
+    message: PeerMessage
+
+
+@dataclass(slots=True, frozen=True)
+class StartAttempt:
+    """Send a request to a target.
+
+    `must_connect` forbids reusing a connection, because a client may
+    resend silently on a reused connection that turns out to be dead.
+    """
+
+    attempt_id: int
+    head: RequestHead
+    customer: str
+    origin: str
+    target: str
+    address: str
+    port: int
+    deadline_us: int
+    must_connect: bool
+
+
+@dataclass(slots=True, frozen=True)
+class RelayAnswer:
+    """Pass the attempt's answer on to the origin of the request."""
+
+    attempt_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class CancelAttempt:
+    """Abort an attempt."""
+
+    attempt_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class RefuseCaller:
+    """Answer the caller in place of a target."""
+
+    request_id: str
+    refusal: Refusal
+
+
+@dataclass(slots=True, frozen=True)
+class CutCaller:
+    """Break off an answer that cannot be completed."""
+
+    request_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class FinishCaller:
+    """The caller has its whole answer."""
+
+    request_id: str
+    verdict: Verdict
+    service: str
+    customer: str
+    latency_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class SpreadRumor:
+    """Tell every host; the node itself turns this into messages.
+
+    `is_relayed` is true on hosts that heard the rumor from another one.
+    """
+
+    rumor: Rumor
+    is_relayed: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Append:
+    """Append a record to the platform's log."""
+
+    payload: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """A state change worth a log line."""
+
+    name: str
+    subject: str
+    detail: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class Stopped:
+    """All work is done; the process may exit."""
+
+
+Effect = (
+    SendPeer
+    | StartAttempt
+    | RelayAnswer
+    | CancelAttempt
+    | RefuseCaller
+    | CutCaller
+    | FinishCaller
+    | SpreadRumor
+    | Append
+    | Note
+    | Stopped
+)
--- /dev/null
+++ b/foxtailreach/core/entry.py
@@ -0,0 +1,417 @@
+"""The entry host's side of a request: admission, choice of a pool, retries.
+
+A request is authenticated, charged to its customer's limit and handed to the
+owner of the pool with the least expected delay. The caller always gets one
+answer: a target's whole answer or a truthful refusal.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass, field
+
+from foxtailreach.config.objects import Route
+from foxtailreach.core import effects, events, messages
+from foxtailreach.core.budget import RetryBudget
+from foxtailreach.core.catalog import Catalog, Pool, is_idempotent
+from foxtailreach.core.crashes import CrashLedger
+from foxtailreach.core.directory import Directory
+from foxtailreach.core.knowledge import Knowledge
+from foxtailreach.core.limits.client import Admission, Decision, LimitClient
+from foxtailreach.core.loads import LoadView
+from foxtailreach.core.membership import Membership
+from foxtailreach.core.units import MILLISECOND_US
+from foxtailreach.core.verdict import Reason, Refusal, Verdict, may_resend
+
+MAX_HOPS_TRIED = 3
+OWNER_RETRIES = 2
+HOP_SEPARATOR = '.'
+MAX_FORWARDS = 1
+RETRY_AFTER_US = 200 * MILLISECOND_US
+
+Effects = list[effects.Effect]
+
+
+@dataclass(slots=True, eq=False)
+class Pending:
+    """A caller's request that has no complete answer yet."""
+
+    head: messages.RequestHead
+    fingerprint: int
+    customer: str
+    weight: int
+    route: Route
+    started_us: int
+    deadline_us: int
+    tried: set[str] = field(default_factory=set)
+    hops: int = 0
+    pool_id: str = ''
+    host_id: str = ''
+    may_have_run: bool = False
+    is_answer_started: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request."""
+        return self.head.request_id
+
+    @property
+    def hop_id(self) -> str:
+        """Identifier of the current handoff of this request."""
+        return f'{self.head.request_id}{HOP_SEPARATOR}{self.hops}'
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether running the request twice is harmless."""
+        return is_idempotent(self.head.method)
+
+
+class EntryRouter:
+    """Takes requests from callers and sees each one to its answer."""
+
+    __slots__ = (
+        '_budget',
+        '_catalog',
+        '_crashes',
+        '_directory',
+        '_host_id',
+        '_knowledge',
+        '_limits',
+        '_membership',
+        'is_stopping',
+        'loads',
+        'pending',
+    )
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        membership: Membership,
+        directory: Directory,
+        knowledge: Knowledge,
+        crashes: CrashLedger,
+        limits: LimitClient,
+        loads: LoadView,
+        now_us: int,
+    ) -> None:
+        """Create a router over the node's shared state."""
+        self._catalog = catalog
+        self._membership = membership
+        self._directory = directory
+        self._knowledge = knowledge
+        self._crashes = crashes
+        self._limits = limits
+        self._host_id = membership.host_id
+        self._budget = RetryBudget(now_us)
+        self.loads = loads
+        self.pending: dict[str, Pending] = {}
+        self.is_stopping = False
+
+    def admit(self, request: events.CallerRequest, now_us: int) -> Effects:
+        """Authenticate, authorize and charge a new request."""
+        request_id = request.head.request_id
+        route = self._catalog.route_of_path(request.head.path)
+        reason = self._refusal_before_key(request, route)
+        if reason is not None or route is None:
+            return [_refuse(request_id, reason or Reason.NO_ROUTE)]
+        customer = self._customer(request, route, now_us)
+        if isinstance(customer, Reason):
+            return [_refuse(request_id, customer)]
+        pending = self._create(request, route, customer, now_us)
+        self.pending[request_id] = pending
+        self._budget.record_request()
+        if not customer:
+            return self._hand_off(pending, now_us)
+        step = self._limits.spend(customer, request_id, now_us)
+        return [*step.effects, *self.decide(step.decisions, now_us)]
+
+    def decide(self, decisions: list[Decision], now_us: int) -> Effects:
+        """Continue with requests whose limit was checked."""
+        step: Effects = []
+        for decision in decisions:
+            pending = self.pending.get(decision.request_id)
+            if pending is None:
+                continue
+            match decision.admission:
+                case Admission.GRANTED:
+                    step.extend(self._hand_off(pending, now_us))
+                case Admission.OVER_LIMIT:
+                    reason = Reason.OVER_LIMIT
+                    step.append(
+                        self._give_up(pending, reason, decision.retry_after_us),
+                    )
+                case Admission.UNAVAILABLE:
+                    reason = Reason.LIMIT_UNAVAILABLE
+                    step.append(
+                        self._give_up(pending, reason, decision.retry_after_us),
+                    )
+        return step
+
+    def caller_gone(self, request_id: str) -> Effects:
+        """Cancel a request whose caller closed its connection."""
+        pending = self.pending.pop(request_id, None)
+        if pending is None:
+            return []
+        self._limits.cancel(pending.customer, request_id)
+        if not pending.host_id:
+            return []
+        cancel = messages.CancelHandoff(pending.hop_id)
+        return [effects.SendPeer(pending.host_id, cancel)]
+
+    def answer_started(self, request_id: str) -> None:
+        """Note that the request can no longer be retried."""
+        pending = self.pending.get(request_id)
+        if pending is not None:
+            pending.is_answer_started = True
+
+    def forwarded(self, notice: messages.Forwarded) -> None:
+        """Note which owner has the request now."""
+        pending = self._pending_of_hop(notice.request_id)
+        if pending is not None:
+            pending.host_id = notice.host_id
+
+    def concluded(
+        self,
+        result: messages.HandoffResult,
+        now_us: int,
+    ) -> Effects:
+        """Finish a request or try another pool."""
+        for load in result.loads:
+            self.loads.observe(load, now_us)
+        pending = self._pending_of_hop(result.request_id)
+        if pending is None:
+            return []
+        if result.verdict is Verdict.RAN and result.reason is None:
+            return [self._finish(pending, now_us)]
+        reason = result.reason or Reason.TARGET_FAILED
+        return self._retry_or_refuse(
+            pending,
+            result.verdict,
+            reason,
+            result.retry_after_us,
+            now_us,
+        )
+
+    def unsent(self, hop_id: str, now_us: int) -> Effects:
+        """Go elsewhere after a handoff that provably was not sent."""
+        pending = self._pending_of_hop(hop_id)
+        if pending is None:
+            return []
+        return self._retry_or_refuse(
+            pending,
+            Verdict.NOT_RUN,
+            Reason.NO_TARGET,
+            RETRY_AFTER_US,
+            now_us,
+        )
+
+    def host_lost(self, host_id: str, now_us: int) -> Effects:
+        """Settle the requests that a lost host had."""
+        step: Effects = []
+        for pending in list(self.pending.values()):
+            if pending.host_id == host_id and host_id != self._host_id:
+                step.extend(
+                    self._retry_or_refuse(
+                        pending,
+                        Verdict.MAY_HAVE_RUN,
+                        Reason.HOST_LOST,
+                        RETRY_AFTER_US,
+                        now_us,
+                    ),
+                )
+        return step
+
+    def tick(self, now_us: int) -> Effects:
+        """Refuse requests whose deadline passed without an answer."""
+        step: Effects = []
+        for pending in list(self.pending.values()):
+            if now_us >= pending.deadline_us and not pending.is_answer_started:
+                step.extend(self._expire(pending))
+        return step
+
+    def _pending_of_hop(self, hop_id: str) -> Pending | None:
+        pending = self.pending.get(request_of_hop(hop_id))
+        if pending is None or pending.hop_id != hop_id:
+            return None
+        return pending
+
+    def _refusal_before_key(
+        self,
+        request: events.CallerRequest,
+        route: Route | None,
+    ) -> Reason | None:
+        if self.is_stopping:
+            return Reason.STOPPING
+        if route is None:
+            return Reason.NO_ROUTE
+        if self._crashes.is_quarantined(request.fingerprint):
+            return Reason.QUARANTINED
+        return None
+
+    def _customer(
+        self,
+        request: events.CallerRequest,
+        route: Route,
+        now_us: int,
+    ) -> str | Reason:
+        if route.open:
+            return ''
+        if not request.key:
+            return Reason.NO_KEY
+        if not self._knowledge.is_current(now_us):
+            return Reason.KEYS_UNCERTAIN
+        customer = self._catalog.customer_of_key(request.key)
+        return Reason.UNKNOWN_KEY if customer is None else customer
+
+    def _create(
+        self,
+        request: events.CallerRequest,
+        route: Route,
+        customer: str,
+        now_us: int,
+    ) -> Pending:
+        timeout_us = route.timeout_ms * MILLISECOND_US
+        if request.timeout_us is not None:
+            timeout_us = min(timeout_us, request.timeout_us)
+        entry = self._catalog.customer(customer)
+        return Pending(
+            head=request.head,
+            fingerprint=request.fingerprint,
+            customer=customer,
+            weight=1 if entry is None else entry.weight,
+            route=route,
+            started_us=now_us,
+            deadline_us=now_us + timeout_us,
+        )
+
+    def _hand_off(self, pending: Pending, now_us: int) -> Effects:
+        pools = self._catalog.pools_of(pending.route.service)
+        chosen = self._choose(pools, pending, now_us)
+        if chosen is None:
+            return [self._give_up(pending, Reason.NO_TARGET, RETRY_AFTER_US)]
+        pool, owner = chosen
+        pending.pool_id = pool.pool_id
+        pending.host_id = owner
+        pending.hops += 1
+        self.loads.record_sent(pool.pool_id)
+        others = [other for other in pools if other is not pool]
+        handoff = messages.Handoff(
+            head=dataclasses.replace(pending.head, request_id=pending.hop_id),
+            pool_id=pool.pool_id,
+            customer=pending.customer,
+            weight=pending.weight,
+            duration=pending.route.duration,
+            idempotent=pending.idempotent,
+            fingerprint=pending.fingerprint,
+            deadline_left_us=max(0, pending.deadline_us - now_us),
+            origin=self._host_id,
+            forwards_left=0 if pending.head.is_streamed else MAX_FORWARDS,
+            retries_left=OWNER_RETRIES,
+            loads=self.loads.reports(others, now_us),
+        )
+        return [effects.SendPeer(owner, handoff)]
+
+    def _choose(
+        self,
+        pools: tuple[Pool, ...],
+        pending: Pending,
+        now_us: int,
+    ) -> tuple[Pool, str] | None:
+        excluded = set(pending.tried)
+        while True:
+            pool = self.loads.choose(pools, excluded, now_us)
+            if pool is None:
+                return None
+            owner = self._directory.owner(pool)
+            if owner is not None:
+                return pool, owner
+            excluded.add(pool.pool_id)
+
+    def _retry_or_refuse(
+        self,
+        pending: Pending,
+        verdict: Verdict,
+        reason: Reason,
+        retry_after_us: int,
+        now_us: int,
+    ) -> Effects:
+        if verdict is not Verdict.NOT_RUN:
+            pending.may_have_run = True
+        if pending.is_answer_started:
+            self.pending.pop(pending.request_id)
+            return [effects.CutCaller(pending.request_id)]
+        if self._may_retry(pending, verdict, reason, now_us):
+            pending.tried.add(pending.pool_id)
+            retried = self._hand_off(pending, now_us)
+            if _is_handoff(retried):
+                return retried
+        return [self._give_up(pending, reason, retry_after_us)]
+
+    def _may_retry(
+        self,
+        pending: Pending,
+        verdict: Verdict,
+        reason: Reason,
+        now_us: int,
+    ) -> bool:
+        if reason in {Reason.CANCELLED, Reason.QUARANTINED, Reason.DEADLINE}:
+            return False
+        if pending.head.is_streamed or pending.hops >= MAX_HOPS_TRIED:
+            return False
+        if now_us >= pending.deadline_us:
+            return False
+        if self._crashes.is_quarantined(pending.fingerprint):
+            return False
+        if not may_resend(verdict, idempotent=pending.idempotent):
+            return False
+        return self._budget.spend_retry(now_us)
+
+    def _expire(self, pending: Pending) -> Effects:
+        step = self.caller_gone(pending.request_id)
+        if pending.host_id:
+            pending.may_have_run = True
+        verdict = Verdict.NOT_RUN
+        if pending.may_have_run:
+            verdict = Verdict.MAY_HAVE_RUN
+        refusal = Refusal(verdict, Reason.DEADLINE)
+        return [*step, effects.RefuseCaller(pending.request_id, refusal)]
+
+    def _finish(self, pending: Pending, now_us: int) -> effects.Effect:
+        self.pending.pop(pending.request_id)
+        return effects.FinishCaller(
+            request_id=pending.request_id,
+            verdict=Verdict.RAN,
+            service=pending.route.service,
+            customer=pending.customer,
+            latency_us=now_us - pending.started_us,
+        )
+
+    def _give_up(
+        self,
+        pending: Pending,
+        reason: Reason,
+        retry_after_us: int = 0,
+    ) -> effects.Effect:
+        self.pending.pop(pending.request_id, None)
+        verdict = Verdict.NOT_RUN
+        if pending.may_have_run:
+            verdict = Verdict.MAY_HAVE_RUN
+        refusal = Refusal(verdict, reason, retry_after_us)
+        return effects.RefuseCaller(pending.request_id, refusal)
+
+
+def request_of_hop(hop_id: str) -> str:
+    """Return the caller's request that a handoff belongs to."""
+    return hop_id.rpartition(HOP_SEPARATOR)[0]
+
+
+def _refuse(request_id: str, reason: Reason) -> effects.RefuseCaller:
+    return effects.RefuseCaller(request_id, Refusal(Verdict.NOT_RUN, reason))
+
+
+def _is_handoff(step: Effects) -> bool:
+    return any(
+        isinstance(effect, effects.SendPeer)
+        and isinstance(effect.message, messages.Handoff)
+        for effect in step
+    )
--- /dev/null
+++ b/foxtailreach/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide token buckets, divided into seats that single hosts hold."""
--- /dev/null
+++ b/foxtailreach/core/loads.py
@@ -0,0 +1,159 @@
+"""An entry host's view of the load of pools, and the choice among them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from foxtailreach.core.catalog import Pool
+from foxtailreach.core.messages import PoolLoad
+from foxtailreach.core.units import MILLISECOND_US
+
+LOCAL_HOP_US = 300
+REMOTE_HOP_US = 3 * MILLISECOND_US
+DEFAULT_SERVICE_US = 20 * MILLISECOND_US
+FRESH_LOAD_US = 50 * MILLISECOND_US
+STALE_LOAD_US = 2_000 * MILLISECOND_US
+UTILIZATION_COST = 0.25
+
+
+@dataclass(slots=True)
+class PoolEstimate:
+    """The last reported load of a pool and what was sent since."""
+
+    slots: int
+    busy: int
+    queued: int
+    service_us: int
+    observed_us: int
+    sent_since: int = 0
+
+    def backlog(self, now_us: int) -> float:
+        """Estimate running and queued requests now."""
+        elapsed_us = now_us - self.observed_us
+        served = self.slots * elapsed_us / max(1, self.service_us)
+        return max(0, self.busy + self.queued - served) + self.sent_since
+
+    def wait_us(self, now_us: int) -> float:
+        """Estimate the queueing delay of one more request."""
+        if self.slots <= 0:
+            return float(STALE_LOAD_US)
+        backlog = self.backlog(now_us)
+        excess = max(0, backlog + 1 - self.slots)
+        utilization = min(1, backlog / self.slots)
+        cost = excess / self.slots + UTILIZATION_COST * utilization**2
+        return cost * self.service_us
+
+
+class LoadView:
+    """Loads of pools, learnt from answers and from handed-on requests."""
+
+    __slots__ = ('_domain', '_estimates', '_rng')
+
+    def __init__(self, domain: str, rng: random.Random) -> None:
+        """Create an empty view for a host in `domain`."""
+        self._domain = domain
+        self._rng = rng
+        self._estimates: dict[str, PoolEstimate] = {}
+
+    def observe(self, load: PoolLoad, now_us: int) -> None:
+        """Adopt a report unless a fresher one is known."""
+        observed_us = now_us - load.age_us
+        known = self._estimates.get(load.pool_id)
+        if known is not None and known.observed_us > observed_us:
+            return
+        self._estimates[load.pool_id] = PoolEstimate(
+            slots=load.slots,
+            busy=load.busy,
+            queued=load.queued,
+            service_us=load.service_us,
+            observed_us=observed_us,
+        )
+
+    def record_sent(self, pool_id: str) -> None:
+        """Count a request that the next report will include."""
+        estimate = self._estimates.get(pool_id)
+        if estimate is not None:
+            estimate.sent_since += 1
+
+    def choose(
+        self,
+        pools: Iterable[Pool],
+        excluded: Iterable[str],
+        now_us: int,
+    ) -> Pool | None:
+        """Return the pool with the least expected delay."""
+        candidates = [pool for pool in pools if pool.pool_id not in excluded]
+        if not candidates:
+            return None
+        self._rng.shuffle(candidates)
+        return min(candidates, key=lambda pool: self.cost_us(pool, now_us))
+
+    def cost_us(self, pool: Pool, now_us: int) -> float:
+        """Estimate the delay that the pool adds to one more request."""
+        hop_us = LOCAL_HOP_US
+        if pool.domain != self._domain:
+            hop_us = REMOTE_HOP_US
+        return hop_us + self._estimate(pool, now_us).wait_us(now_us)
+
+    def freest(
+        self,
+        pools: Iterable[Pool],
+        excluded: str,
+        now_us: int,
+    ) -> Pool | None:
+        """Return another pool that had a free slot a moment ago."""
+        best: Pool | None = None
+        most_free = 0.0
+        for pool in pools:
+            estimate = self._estimates.get(pool.pool_id)
+            if estimate is None or pool.pool_id == excluded:
+                continue
+            if now_us - estimate.observed_us > FRESH_LOAD_US:
+                continue
+            free = estimate.slots - estimate.backlog(now_us)
+            if free >= 1 and free > most_free:
+                best, most_free = pool, free
+        return best
+
+    def reports(
+        self,
+        pools: Iterable[Pool],
+        now_us: int,
+    ) -> tuple[PoolLoad, ...]:
+        """Return the fresh part of the view, to travel with a request."""
+        reports = []
+        for pool in pools:
+            estimate = self._estimates.get(pool.pool_id)
+            if estimate is None:
+                continue
+            age_us = now_us - estimate.observed_us
+            if age_us <= FRESH_LOAD_US:
+                reports.append(_report(pool.pool_id, estimate, age_us))
+        return tuple(reports)
+
+    def _estimate(self, pool: Pool, now_us: int) -> PoolEstimate:
+        known = self._estimates.get(pool.pool_id)
+        if known is not None and now_us - known.observed_us < STALE_LOAD_US:
+            return known
+        fresh = PoolEstimate(
+            slots=pool.slots,
+            busy=0,
+            queued=0,
+            service_us=DEFAULT_SERVICE_US,
+            observed_us=now_us,
+        )
+        self._estimates[pool.pool_id] = fresh
+        return fresh
+
+
+def _report(pool_id: str, estimate: PoolEstimate, age_us: int) -> PoolLoad:
+    return PoolLoad(
+        pool_id=pool_id,
+        slots=estimate.slots,
+        busy=estimate.busy,
+        queued=estimate.queued,
+        service_us=estimate.service_us,
+        age_us=age_us,
+    )
--- /dev/null
+++ b/foxtailreach/core/membership.py
@@ -0,0 +1,320 @@
+"""Failure detection among hosts at a cost that does not grow with the fleet.
+
+Each host pings a few neighbours on a hash ring. A neighbour that stays
+silent is pinged through other hosts before it is reported as down, and the
+report spreads epidemically. A host that is reported by mistake refutes the
+report with a higher incarnation.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from foxtailreach.core import effects, messages
+from foxtailreach.core.knowledge import Knowledge
+from foxtailreach.core.messages import HostEntry, HostRumor, Liveness
+from foxtailreach.core.ranking import rendezvous_score
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+
+NEIGHBOURS = 3
+HELPERS = 3
+PING_INTERVAL_US = 250 * MILLISECOND_US
+SILENCE_US = 750 * MILLISECOND_US
+CONFIRM_US = 500 * MILLISECOND_US
+PAUSE_US = SECOND_US
+RING = 'ring'
+
+Effects = list[effects.Effect]
+
+
+@dataclass(slots=True)
+class HostState:
+    """What is known of one host."""
+
+    entry: HostEntry
+    incarnation: int = 0
+    liveness: Liveness = Liveness.UP
+    heard_us: int = 0
+    suspected_us: int = 0
+
+
+class Membership:
+    """The live hosts, from the platform's list and from heartbeats."""
+
+    __slots__ = (
+        '_knowledge',
+        '_next_ping_us',
+        '_offset',
+        '_rng',
+        '_sequence',
+        '_ticked_us',
+        'host_id',
+        'hosts',
+        'incarnation',
+        'is_leaving',
+        'neighbours',
+        'version',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        incarnation: int,
+        knowledge: Knowledge,
+        rng: random.Random,
+        now_us: int,
+    ) -> None:
+        """Start knowing nobody; see `update_list`."""
+        self.host_id = host_id
+        self.incarnation = incarnation
+        self.is_leaving = False
+        self.hosts: dict[str, HostState] = {}
+        self.neighbours: tuple[str, ...] = ()
+        self.version = 0
+        self._knowledge = knowledge
+        self._rng = rng
+        self._sequence = 0
+        self._offset = 0
+        self._next_ping_us = now_us
+        self._ticked_us = now_us
+
+    def is_usable(self, host_id: str) -> bool:
+        """Whether a host may own pools and get new work."""
+        if host_id == self.host_id:
+            return not self.is_leaving
+        state = self.hosts.get(host_id)
+        return state is not None and _is_usable(state)
+
+    def usable_hosts(self, domain: str | None = None) -> list[str]:
+        """List the hosts that may own pools, this one included."""
+        return [
+            host_id
+            for host_id, state in self.hosts.items()
+            if self.is_usable(host_id) and domain in {None, state.entry.domain}
+        ]
+
+    def others(self) -> list[str]:
+        """List all listed hosts that are not known to be down."""
+        return [
+            host_id
+            for host_id, state in self.hosts.items()
+            if host_id != self.host_id and state.liveness is not Liveness.DOWN
+        ]
+
+    def update_list(self, entries: Iterable[HostEntry], now_us: int) -> bool:
+        """Adopt the platform's list; true if the membership changed."""
+        listed = {entry.host_id: entry for entry in entries}
+        gone = self.hosts.keys() - listed.keys()
+        changed = bool(gone)
+        for host_id in gone:
+            self.hosts.pop(host_id)
+        for host_id, entry in listed.items():
+            changed = self._update_entry(host_id, entry, now_us) or changed
+        if changed:
+            self._renew()
+        self._knowledge.expect_peers(has_peers=len(self.hosts) > 1)
+        return changed
+
+    def announce(self) -> HostRumor:
+        """Build the rumor that tells this host's own liveness."""
+        liveness = Liveness.LEAVING if self.is_leaving else Liveness.UP
+        return HostRumor(self.host_id, self.incarnation, liveness)
+
+    def leave(self) -> HostRumor:
+        """Stop being a candidate for any ownership."""
+        self.is_leaving = True
+        self._renew()
+        return self.announce()
+
+    def absorb(self, rumor: HostRumor, now_us: int) -> Effects | None:
+        """Apply a rumor; None if it is not news and need not spread."""
+        if rumor.host_id == self.host_id:
+            return self._refute(rumor)
+        state = self.hosts.get(rumor.host_id)
+        if state is None or not _is_news(rumor, state):
+            return None
+        if rumor.liveness is Liveness.UP:
+            state.heard_us = now_us
+        state.incarnation = rumor.incarnation
+        state.liveness = rumor.liveness
+        state.suspected_us = 0
+        self._renew()
+        return []
+
+    def handle_ping(
+        self, sender: str, ping: messages.Ping, now_us: int
+    ) -> Effects:
+        """Answer a heartbeat."""
+        step = self._record_alive(sender, ping.incarnation, now_us)
+        self._knowledge.record_peer(sender, ping.log_age_us, now_us)
+        ack = messages.Ack(
+            sequence=ping.sequence,
+            subject=self.host_id,
+            incarnation=self.incarnation,
+            log_offset=self._offset,
+            log_age_us=self._knowledge.age_us(now_us),
+        )
+        step.append(effects.SendPeer(sender, ack))
+        if ping.on_behalf_of:
+            step.append(effects.SendPeer(ping.on_behalf_of, ack))
+        return step
+
+    def handle_ack(
+        self, sender: str, ack: messages.Ack, now_us: int
+    ) -> Effects:
+        """Note that a host is alive, perhaps on behalf of another one."""
+        if sender == ack.subject:
+            self._knowledge.record_peer(sender, ack.log_age_us, now_us)
+        return self._record_alive(ack.subject, ack.incarnation, now_us)
+
+    def handle_ping_request(
+        self,
+        sender: str,
+        request: messages.PingRequest,
+        now_us: int,
+    ) -> Effects:
+        """Ping a host that the sender cannot reach."""
+        return [self._ping(request.subject, now_us, on_behalf_of=sender)]
+
+    def tick(self, now_us: int, log_offset: int) -> Effects:
+        """Ping neighbours and report those that stay silent."""
+        self._offset = log_offset
+        paused_us = now_us - self._ticked_us
+        self._ticked_us = now_us
+        if paused_us > PAUSE_US:
+            self._forgive(now_us)
+        if now_us < self._next_ping_us:
+            return []
+        self._next_ping_us = now_us + PING_INTERVAL_US
+        step: Effects = []
+        for host_id in self.neighbours:
+            step.append(self._ping(host_id, now_us))
+            step.extend(self._check(host_id, now_us))
+        return step
+
+    def _update_entry(
+        self,
+        host_id: str,
+        entry: HostEntry,
+        now_us: int,
+    ) -> bool:
+        state = self.hosts.get(host_id)
+        if state is None:
+            self.hosts[host_id] = HostState(entry, heard_us=now_us)
+            return True
+        changed = state.entry != entry
+        state.entry = entry
+        return changed
+
+    def _renew(self) -> None:
+        self.version += 1
+        ring = sorted(
+            (rendezvous_score(host_id, RING), host_id) for host_id in self.hosts
+        )
+        order = [host_id for _, host_id in ring]
+        if self.host_id not in order:
+            self.neighbours = ()
+            return
+        own = order.index(self.host_id)
+        following = [
+            host_id
+            for host_id in order[own + 1 :] + order[:own]
+            if self.hosts[host_id].entry.is_leaving is False
+        ]
+        self.neighbours = tuple(following[:NEIGHBOURS])
+
+    def _ping(
+        self,
+        host_id: str,
+        now_us: int,
+        on_behalf_of: str = '',
+    ) -> effects.Effect:
+        self._sequence += 1
+        ping = messages.Ping(
+            sequence=self._sequence,
+            incarnation=self.incarnation,
+            log_offset=self._offset,
+            log_age_us=self._knowledge.age_us(now_us),
+            on_behalf_of=on_behalf_of,
+        )
+        return effects.SendPeer(host_id, ping)
+
+    def _check(self, host_id: str, now_us: int) -> Effects:
+        state = self.hosts[host_id]
+        silent_us = now_us - state.heard_us
+        if state.liveness is Liveness.DOWN or silent_us < SILENCE_US:
+            return []
+        if not state.suspected_us:
+            state.suspected_us = now_us
+            return self._ask_helpers(host_id)
+        if now_us - state.suspected_us < CONFIRM_US:
+            return []
+        if not self._knowledge.is_connected(now_us):
+            return []
+        rumor = HostRumor(host_id, state.incarnation, Liveness.DOWN)
+        self.absorb(rumor, now_us)
+        return [effects.SpreadRumor(rumor)]
+
+    def _ask_helpers(self, host_id: str) -> Effects:
+        candidates = [other for other in self.others() if other != host_id]
+        count = min(HELPERS, len(candidates))
+        request = messages.PingRequest(host_id)
+        return [
+            effects.SendPeer(helper, request)
+            for helper in self._rng.sample(candidates, count)
+        ]
+
+    def _record_alive(
+        self,
+        host_id: str,
+        incarnation: int,
+        now_us: int,
+    ) -> Effects:
+        state = self.hosts.get(host_id)
+        if state is None:
+            return []
+        state.heard_us = now_us
+        state.suspected_us = 0
+        is_back = state.liveness is Liveness.DOWN
+        if incarnation <= state.incarnation and not is_back:
+            return []
+        if incarnation < state.incarnation:
+            return []
+        if is_back and incarnation == state.incarnation:
+            accusation = HostRumor(host_id, incarnation, Liveness.DOWN)
+            return [effects.SendPeer(host_id, accusation)]
+        if is_back or incarnation > state.incarnation:
+            state.incarnation = incarnation
+            state.liveness = Liveness.UP
+            self._renew()
+            rumor = HostRumor(host_id, incarnation, Liveness.UP)
+            return [effects.SpreadRumor(rumor)]
+        return []
+
+    def _refute(self, rumor: HostRumor) -> Effects | None:
+        if rumor.incarnation < self.incarnation:
+            return None
+        if rumor == self.announce():
+            return None
+        self.incarnation = rumor.incarnation + 1
+        return [effects.SpreadRumor(self.announce())]
+
+    def _forgive(self, now_us: int) -> None:
+        for state in self.hosts.values():
+            state.heard_us = now_us
+            state.suspected_us = 0
+
+
+_SEVERITY = {Liveness.UP: 0, Liveness.LEAVING: 1, Liveness.DOWN: 2}
+
+
+def _is_news(rumor: HostRumor, state: HostState) -> bool:
+    if rumor.incarnation != state.incarnation:
+        return rumor.incarnation > state.incarnation
+    return _SEVERITY[rumor.liveness] > _SEVERITY[state.liveness]
+
+
+def _is_usable(state: HostState) -> bool:
+    return state.liveness is Liveness.UP and not state.entry.is_leaving
--- /dev/null
+++ b/foxtailreach/core/node.py
@@ -0,0 +1,487 @@
+"""One host's decisions as a state machine.
+
+`Node.handle` takes an event and the time and returns effects. The daemon,
+the tests and the benches all drive this one class.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from foxtailreach.config.objects import ChangeSet
+from foxtailreach.core import effects, events, messages
+from foxtailreach.core.catalog import Catalog
+from foxtailreach.core.crashes import CrashLedger
+from foxtailreach.core.directory import Directory
+from foxtailreach.core.entry import EntryRouter
+from foxtailreach.core.fold import Fold
+from foxtailreach.core.knowledge import CURRENT_US, Knowledge
+from foxtailreach.core.limits.claims import SeatClaims
+from foxtailreach.core.limits.client import LimitClient, Step, nearest_first
+from foxtailreach.core.limits.holder import LimitHolder
+from foxtailreach.core.limits.seats import SEATS, domain_of_seat, seat_key
+from foxtailreach.core.loads import LoadView
+from foxtailreach.core.membership import Membership
+from foxtailreach.core.ownership import Ownership
+from foxtailreach.core.ranking import rank_candidates, top_candidate
+from foxtailreach.core.relay import LogRelay
+from foxtailreach.core.rumors import RumorMill
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+from foxtailreach.core.verdict import Reason, Verdict
+
+TICK_INTERVAL_US = 20 * MILLISECOND_US
+EXPIRY_INTERVAL_US = 10 * SECOND_US
+SNAPSHOT_EVERY_RECORDS = 500
+SEQUENCE_BITS = 40
+READERS_PER_DOMAIN = 2
+READER_ROLE = 'log-reader'
+
+Effects = list[effects.Effect]
+
+
+@dataclass(slots=True, frozen=True)
+class NodeConfig:
+    """Identity of a node; `incarnation` must grow with every restart."""
+
+    host_id: str
+    domain: str
+    incarnation: int
+
+
+class Node:
+    """Composes the policies of one host."""
+
+    __slots__ = (
+        '_claims',
+        '_config',
+        '_is_stopped',
+        '_limits',
+        '_membership_version',
+        '_next_expiry_us',
+        '_now_us',
+        '_relay',
+        '_rumors',
+        '_version_reviewed',
+        'catalog',
+        'crashes',
+        'directory',
+        'entry',
+        'fold',
+        'holder',
+        'is_stopping',
+        'knowledge',
+        'loads',
+        'membership',
+        'ownership',
+    )
+
+    def __init__(
+        self,
+        config: NodeConfig,
+        rng: random.Random,
+        now_us: int,
+    ) -> None:
+        """Compose the policies; see `from_config`."""
+        self._config = config
+        self._now_us = now_us
+        self.catalog = Catalog()
+        self.fold = Fold(self._configuration_changed)
+        self.knowledge = Knowledge()
+        self.crashes = CrashLedger()
+        self.membership = Membership(
+            config.host_id,
+            config.incarnation,
+            self.knowledge,
+            rng,
+            now_us,
+        )
+        self.directory = Directory(self.membership)
+        self.loads = LoadView(config.domain, rng)
+        self.holder = LimitHolder(
+            config.host_id,
+            self.fold,
+            self.catalog,
+            self.knowledge,
+        )
+        self._claims = SeatClaims(self.fold, self.membership, self.holder)
+        self._limits = LimitClient(
+            self._locate_seat,
+            self._order_seats,
+            rng.getrandbits(SEQUENCE_BITS),
+        )
+        self.ownership = Ownership(
+            self.catalog,
+            self.membership,
+            self.directory,
+            self.crashes,
+            self.loads,
+            rng,
+        )
+        self.entry = EntryRouter(
+            self.catalog,
+            self.membership,
+            self.directory,
+            self.knowledge,
+            self.crashes,
+            self._limits,
+            self.loads,
+            now_us,
+        )
+        self._relay = LogRelay(self.fold, self.knowledge, self.membership)
+        self._rumors = RumorMill(self.membership, rng)
+        self._membership_version = 0
+        self._version_reviewed = 0
+        self._next_expiry_us = now_us
+        self._is_stopped = False
+        self.is_stopping = False
+
+    @classmethod
+    def from_config(
+        cls,
+        config: NodeConfig,
+        rng: random.Random,
+        now_us: int,
+    ) -> Node:
+        """Create a node that knows nothing yet."""
+        return cls(config, rng, now_us)
+
+    def handle(self, event: events.Event, now_us: int) -> Effects:
+        """Process one event; local messages are processed at once."""
+        self._now_us = now_us
+        outgoing: Effects = []
+        todo = deque(self._decide(event, now_us))
+        while todo:
+            effect = todo.popleft()
+            match effect:
+                case effects.SendPeer(host_id=host_id, message=message) if (
+                    host_id == self._config.host_id
+                ):
+                    todo.extend(self._receive(host_id, message, now_us))
+                case effects.SpreadRumor(rumor=rumor, is_relayed=True):
+                    todo.extend(self._rumors.relay(rumor))
+                case effects.SpreadRumor(rumor=rumor):
+                    todo.extend(self._rumors.start(rumor))
+                case _:
+                    outgoing.append(effect)
+        return outgoing
+
+    def address_of(self, host_id: str) -> tuple[str, int] | None:
+        """Return where a host listens for other hosts."""
+        state = self.membership.hosts.get(host_id)
+        if state is None:
+            return None
+        return state.entry.address, state.entry.peer_port
+
+    def is_log_reader(self) -> bool:
+        """Whether this host reads the log often, on behalf of its domain."""
+        hosts = self.membership.usable_hosts(self._config.domain)
+        readers = rank_candidates(hosts, READER_ROLE)[:READERS_PER_DOMAIN]
+        return not readers or self._config.host_id in readers
+
+    def _decide(self, event: events.Event, now_us: int) -> Effects:
+        match event:
+            case events.CallerRequest():
+                return self.entry.admit(event, now_us)
+            case events.CallerGone(request_id=request_id):
+                return self.entry.caller_gone(request_id)
+            case events.AnswerStarted(request_id=request_id):
+                self.entry.answer_started(request_id)
+                return []
+            case events.PeerReceived(sender=sender, message=message):
+                return self._receive(sender, message, now_us)
+            case events.PeerUnsent(host_id=host_id, message=message):
+                return self._unsent(host_id, message, now_us)
+            case events.PeerDisconnected(host_id=host_id):
+                return self.entry.host_lost(host_id, now_us)
+            case events.AttemptHead() | events.AttemptEnded():
+                return self._attempt_event(event, now_us)
+            case _:
+                return self._platform_event(event, now_us)
+
+    def _attempt_event(
+        self,
+        event: events.AttemptHead | events.AttemptEnded,
+        now_us: int,
+    ) -> Effects:
+        owner = self.ownership.owner_of_attempt(event.attempt_id)
+        if owner is None:
+            return []
+        if isinstance(event, events.AttemptHead):
+            return owner.attempt_head(event.attempt_id, event.status, now_us)
+        self.ownership.forget_attempt(event.attempt_id)
+        step = owner.attempt_ended(
+            event.attempt_id,
+            event.outcome,
+            now_us,
+            was_sent=event.was_sent,
+        )
+        return self.ownership.attempt_ended(owner, step)
+
+    def _platform_event(self, event: events.Event, now_us: int) -> Effects:
+        match event:
+            case events.LogRead():
+                return self._log_read(event, now_us)
+            case events.HostsListed(hosts=hosts):
+                return self._hosts_listed(hosts, now_us)
+            case events.StopRequested():
+                return self._stop(now_us)
+            case events.Tick():
+                return self._tick(now_us)
+            case _:
+                return []
+
+    def _receive(
+        self,
+        sender: str,
+        message: messages.PeerMessage,
+        now_us: int,
+    ) -> Effects:
+        match message:
+            case messages.Handoff():
+                return self.ownership.submit(message, now_us)
+            case messages.HandoffResult():
+                return self.entry.concluded(message, now_us)
+            case messages.Forwarded():
+                self.entry.forwarded(message)
+                return []
+            case messages.CancelHandoff(request_id=request_id):
+                return self.ownership.cancel(request_id, now_us)
+            case messages.PoolHandover():
+                return self.ownership.handover(message, now_us)
+            case messages.TokenRequest():
+                return [self.holder.handle_request(sender, message, now_us)]
+            case messages.TokenReturn():
+                self.holder.handle_return(sender, message, now_us)
+                return []
+            case messages.TokenGrant():
+                step = self._limits.handle_grant(message, now_us)
+                return self._apply_limits(step, now_us)
+            case _:
+                return self._receive_gossip(sender, message, now_us)
+
+    def _receive_gossip(
+        self,
+        sender: str,
+        message: messages.PeerMessage,
+        now_us: int,
+    ) -> Effects:
+        match message:
+            case messages.Ping():
+                step = self.membership.handle_ping(sender, message, now_us)
+                return [
+                    *step,
+                    *self._compare(sender, message, now_us),
+                    *self._review(now_us),
+                ]
+            case messages.Ack():
+                step = self.membership.handle_ack(sender, message, now_us)
+                return [
+                    *step,
+                    *self._compare(sender, message, now_us),
+                    *self._review(now_us),
+                ]
+            case messages.PingRequest():
+                return self.membership.handle_ping_request(
+                    sender,
+                    message,
+                    now_us,
+                )
+            case messages.HostRumor():
+                return self._host_rumor(message, now_us)
+            case messages.CrashRumor():
+                if self.crashes.absorb(message, now_us):
+                    return [effects.SpreadRumor(message, is_relayed=True)]
+                return []
+            case _:
+                return self._receive_log(sender, message, now_us)
+
+    def _receive_log(
+        self,
+        sender: str,
+        message: messages.PeerMessage,
+        now_us: int,
+    ) -> Effects:
+        match message:
+            case messages.LogBatch(records=records, log_age_us=age_us):
+                is_new = self._relay.absorb(records)
+                step: Effects = []
+                if is_new:
+                    step.append(effects.SpreadRumor(message, is_relayed=True))
+                next_offset = records[-1].offset + 1 if records else 0
+                step.extend(
+                    self._relay.compare(sender, next_offset, age_us, now_us),
+                )
+                return [*step, *self._review(now_us)]
+            case messages.LogPull():
+                return self._relay.answer_pull(sender, message, now_us)
+            case messages.Snapshot():
+                self._relay.adopt_snapshot(message)
+                if len(self.membership.hosts) <= 1:
+                    self.membership.update_list(message.hosts, now_us)
+                return self._review(now_us)
+            case _:
+                return []
+
+    def _unsent(
+        self,
+        host_id: str,
+        message: messages.PeerMessage,
+        now_us: int,
+    ) -> Effects:
+        match message:
+            case messages.Handoff(head=head, origin=origin) if (
+                origin == self._config.host_id
+            ):
+                return self.entry.unsent(head.request_id, now_us)
+            case messages.Handoff(head=head, origin=origin):
+                return [_undelivered(origin, head.request_id)]
+            case messages.TokenRequest():
+                step = self._limits.handle_unsent(message, now_us)
+                return self._apply_limits(step, now_us)
+            case _:
+                return []
+
+    def _host_rumor(self, rumor: messages.HostRumor, now_us: int) -> Effects:
+        step = self.membership.absorb(rumor, now_us)
+        if step is None:
+            return []
+        if rumor.host_id != self._config.host_id:
+            step.append(effects.SpreadRumor(rumor, is_relayed=True))
+            note = effects.Note('host', rumor.host_id, rumor.liveness.value)
+            step.append(note)
+        if rumor.liveness is messages.Liveness.DOWN:
+            step.extend(self.entry.host_lost(rumor.host_id, now_us))
+        return [*step, *self._review(now_us)]
+
+    def _compare(
+        self,
+        sender: str,
+        message: messages.Ping | messages.Ack,
+        now_us: int,
+    ) -> Effects:
+        return self._relay.compare(
+            sender,
+            message.log_offset,
+            message.log_age_us,
+            now_us,
+        )
+
+    def _log_read(self, event: events.LogRead, now_us: int) -> Effects:
+        step: Effects = []
+        if self._relay.absorb(event.records):
+            batch = self._relay.batch(event.records, now_us)
+            step.append(effects.SpreadRumor(batch))
+        if self.fold.next_offset >= event.next_offset:
+            self.knowledge.record_read(now_us)
+        elif event.first_offset > self.fold.next_offset:
+            step.append(
+                effects.Note('log-trimmed', str(event.first_offset)),
+            )
+        return [*step, *self._review(now_us)]
+
+    def _hosts_listed(
+        self,
+        hosts: Iterable[messages.HostEntry],
+        now_us: int,
+    ) -> Effects:
+        is_first = not self.membership.hosts
+        self.membership.update_list(hosts, now_us)
+        step = self._review(now_us)
+        if is_first and self.membership.hosts:
+            step.append(effects.SpreadRumor(self.membership.announce()))
+        return step
+
+    def _stop(self, now_us: int) -> Effects:
+        if self.is_stopping:
+            return []
+        self.is_stopping = True
+        self.entry.is_stopping = True
+        rumor = self.membership.leave()
+        return [
+            effects.SpreadRumor(rumor),
+            *self._claims.release(),
+            *self._review(now_us),
+        ]
+
+    def _tick(self, now_us: int) -> Effects:
+        step: Effects = []
+        step.extend(self.membership.tick(now_us, self.fold.next_offset))
+        step.extend(self._apply_limits(self._limits.tick(now_us), now_us))
+        step.extend(self.entry.tick(now_us))
+        is_connected = self.knowledge.is_connected(now_us)
+        step.extend(self.ownership.tick(now_us, is_connected=is_connected))
+        can_append = 0 <= self.knowledge.age_us(now_us) < CURRENT_US
+        step.extend(self._claims.tick(now_us, can_append=can_append))
+        step.extend(self._snapshot_if_due(can_append=can_append))
+        if now_us >= self._next_expiry_us:
+            self._next_expiry_us = now_us + EXPIRY_INTERVAL_US
+            self.crashes.expire(now_us)
+        step.extend(self._review(now_us))
+        step.extend(self._stopped_if_idle())
+        return step
+
+    def _snapshot_if_due(self, *, can_append: bool) -> Effects:
+        behind = self.fold.next_offset - self.fold.snapshot_offset
+        if not can_append or behind < SNAPSHOT_EVERY_RECORDS:
+            return []
+        hosts = self.membership.usable_hosts()
+        turn = str(self.fold.next_offset // SNAPSHOT_EVERY_RECORDS)
+        if top_candidate(hosts, turn) != self._config.host_id:
+            return []
+        self.fold.snapshot_offset = self.fold.next_offset
+        return [effects.Append(self.fold.encoded_snapshot())]
+
+    def _stopped_if_idle(self) -> Effects:
+        if not self.is_stopping or self._is_stopped:
+            return []
+        if self.entry.pending or not self.ownership.is_idle:
+            return []
+        self._is_stopped = True
+        return [effects.Stopped()]
+
+    def _review(self, now_us: int) -> Effects:
+        version = self.membership.version
+        is_same = version == self._membership_version
+        if is_same and self.fold.next_offset == self._version_reviewed:
+            return []
+        self._membership_version = version
+        self._version_reviewed = self.fold.next_offset
+        self.holder.refresh_terms(now_us)
+        return self.ownership.review(now_us)
+
+    def _apply_limits(self, step: Step, now_us: int) -> Effects:
+        return [*step.effects, *self.entry.decide(step.decisions, now_us)]
+
+    def _configuration_changed(self, change: ChangeSet) -> None:
+        self.catalog.apply(self.fold.objects, change)
+
+    def _locate_seat(self, seat: str) -> str:
+        holder = self.fold.holders.get(seat)
+        if holder is None or not holder.host_id:
+            return ''
+        if holder.host_id == self._config.host_id:
+            return holder.host_id
+        state = self.membership.hosts.get(holder.host_id)
+        if state is None or state.liveness is messages.Liveness.DOWN:
+            return ''
+        return holder.host_id
+
+    def _order_seats(self, group: int) -> tuple[int, ...]:
+        domains = sorted(self.fold.objects.domains)
+        for seat in range(SEATS):
+            domain = domain_of_seat(seat_key(group, seat), domains)
+            if domain == self._config.domain:
+                return nearest_first(seat)
+        return nearest_first(None)
+
+
+def _undelivered(origin: str, request_id: str) -> effects.Effect:
+    result = messages.HandoffResult(
+        request_id=request_id,
+        verdict=Verdict.NOT_RUN,
+        reason=Reason.HOST_LOST,
+    )
+    return effects.SendPeer(origin, result)
--- /dev/null
+++ b/foxtailreach/core/ownership.py
@@ -0,0 +1,247 @@
+"""The pools that this host owns: creation, takeover, handover."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+from foxtailreach.core import effects, messages
+from foxtailreach.core.catalog import Catalog, Pool
+from foxtailreach.core.crashes import CrashLedger
+from foxtailreach.core.directory import Directory
+from foxtailreach.core.loads import LoadView
+from foxtailreach.core.membership import Membership
+from foxtailreach.core.pool.owner import PoolOwner
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+from foxtailreach.core.verdict import Reason, Verdict
+
+TAKEOVER_US = 1500 * MILLISECOND_US
+PHANTOM_US = 10 * SECOND_US
+RECENT_HANDOFFS = 8192
+
+Effects = list[effects.Effect]
+
+
+class Ownership:
+    """Owners of the pools that the directory assigns to this host."""
+
+    __slots__ = (
+        '_attempt_ids',
+        '_attempt_pools',
+        '_catalog',
+        '_crashes',
+        '_directory',
+        '_host_id',
+        '_loads',
+        '_membership',
+        '_recent',
+        '_rng',
+        'pools',
+    )
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        membership: Membership,
+        directory: Directory,
+        crashes: CrashLedger,
+        loads: LoadView,
+        rng: random.Random,
+    ) -> None:
+        """Start without pools; see `review`."""
+        self._catalog = catalog
+        self._membership = membership
+        self._directory = directory
+        self._crashes = crashes
+        self._loads = loads
+        self._host_id = membership.host_id
+        self._rng = rng
+        self._attempt_ids = itertools.count(1)
+        self._attempt_pools: dict[int, str] = {}
+        self._recent: dict[str, None] = {}
+        self.pools: dict[str, PoolOwner] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no owned pool has work."""
+        return all(owner.is_idle for owner in self.pools.values())
+
+    def review(self, now_us: int) -> Effects:
+        """Adopt and give up pools after a change of hosts or targets."""
+        step: Effects = []
+        assigned = {
+            pool.pool_id: pool
+            for pool in self._catalog.pools()
+            if self._directory.owner(pool) == self._host_id
+        }
+        for pool_id, owner in list(self.pools.items()):
+            if pool_id not in assigned:
+                step.extend(self._give_up(pool_id, owner, now_us))
+        for pool in assigned.values():
+            step.extend(self._adopt(pool, now_us))
+        return step
+
+    def submit(self, handoff: messages.Handoff, now_us: int) -> Effects:
+        """Queue a handed-off request, hand it on, or refuse it."""
+        for load in handoff.loads:
+            self._loads.observe(load, now_us)
+        if handoff.head.request_id in self._recent:
+            return []
+        self._remember(handoff.head.request_id)
+        owner = self.pools.get(handoff.pool_id)
+        if owner is None or owner.is_closing:
+            return [_refuse(handoff)]
+        forwarded = self._forward(handoff, owner, now_us)
+        if forwarded:
+            return forwarded
+        return self._track(owner, owner.submit(handoff, now_us))
+
+    def handover(
+        self,
+        message: messages.PoolHandover,
+        now_us: int,
+    ) -> Effects:
+        """Take over a pool from an owner that gave it up."""
+        owner = self.pools.get(message.pool_id)
+        if owner is None:
+            return []
+        step = owner.adopt_allowances(message.allowances, now_us)
+        return self._track(owner, step)
+
+    def cancel(self, request_id: str, now_us: int) -> Effects:
+        """Stop a request, whichever pool has it."""
+        step: Effects = []
+        for owner in self.pools.values():
+            step.extend(self._track(owner, owner.cancel(request_id, now_us)))
+        return step
+
+    def owner_of_attempt(self, attempt_id: int) -> PoolOwner | None:
+        """Return the owner that started an attempt."""
+        pool_id = self._attempt_pools.get(attempt_id, '')
+        return self.pools.get(pool_id)
+
+    def attempt_ended(self, owner: PoolOwner, step: Effects) -> Effects:
+        """Record the attempts that a finished attempt made room for."""
+        return self._track(owner, step)
+
+    def forget_attempt(self, attempt_id: int) -> None:
+        """Drop the record of a finished attempt."""
+        self._attempt_pools.pop(attempt_id, None)
+
+    def tick(self, now_us: int, *, is_connected: bool) -> Effects:
+        """Let every owner expire jobs, start trials and dispatch."""
+        step: Effects = []
+        for pool_id, owner in list(self.pools.items()):
+            owner.is_suspended = not is_connected
+            step.extend(self._track(owner, owner.tick(now_us)))
+            if now_us > owner.activates_at_us + PHANTOM_US:
+                owner.release_phantoms()
+            if owner.is_closing and owner.is_idle:
+                step.extend(self._pass_on(pool_id, owner))
+                self.pools.pop(pool_id)
+        return step
+
+    def _adopt(self, pool: Pool, now_us: int) -> Effects:
+        service = self._catalog.objects.services[pool.service]
+        owner = self.pools.get(pool.pool_id)
+        if owner is None:
+            owner = PoolOwner(
+                pool.pool_id,
+                service,
+                self._crashes,
+                self._attempt_ids.__next__,
+                self._rng,
+                now_us,
+            )
+            owner.activates_at_us = now_us
+            if len(self._membership.hosts) > 1:
+                owner.activates_at_us += TAKEOVER_US
+            self.pools[pool.pool_id] = owner
+        owner.is_closing = False
+        step = owner.update_targets(service, pool.targets, now_us)
+        return self._track(owner, step)
+
+    def _give_up(
+        self,
+        pool_id: str,
+        owner: PoolOwner,
+        now_us: int,
+    ) -> Effects:
+        if owner.is_closing:
+            return []
+        owner.is_closing = True
+        step = self._pass_on(pool_id, owner)
+        step.extend(owner.drain_queue())
+        if owner.is_idle:
+            self.pools.pop(pool_id)
+        return step
+
+    def _pass_on(self, pool_id: str, owner: PoolOwner) -> Effects:
+        pool = self._catalog.pool(pool_id)
+        successor = None if pool is None else self._directory.owner(pool)
+        if successor is None or successor == self._host_id:
+            return []
+        message = messages.PoolHandover(pool_id, owner.allowances())
+        return [effects.SendPeer(successor, message)]
+
+    def _forward(
+        self,
+        handoff: messages.Handoff,
+        owner: PoolOwner,
+        now_us: int,
+    ) -> Effects:
+        if not handoff.forwards_left or owner.free_slots > owner.queued:
+            return []
+        service = handoff.pool_id.partition('/')[0]
+        pools = self._catalog.pools_of(service)
+        pool = self._loads.freest(pools, handoff.pool_id, now_us)
+        target = None if pool is None else self._directory.owner(pool)
+        if pool is None or target in {None, self._host_id}:
+            return []
+        self._loads.record_sent(pool.pool_id)
+        return _forward_to(target or '', pool.pool_id, handoff)
+
+    def _track(self, owner: PoolOwner, step: Effects) -> Effects:
+        for effect in step:
+            if isinstance(effect, effects.StartAttempt):
+                self._attempt_pools[effect.attempt_id] = owner.pool_id
+        return step
+
+    def _remember(self, request_id: str) -> None:
+        self._recent[request_id] = None
+        if len(self._recent) > RECENT_HANDOFFS:
+            self._recent.pop(next(iter(self._recent)))
+
+
+def _forward_to(
+    host_id: str,
+    pool_id: str,
+    handoff: messages.Handoff,
+) -> Effects:
+    onward = messages.Handoff(
+        head=handoff.head,
+        pool_id=pool_id,
+        customer=handoff.customer,
+        weight=handoff.weight,
+        duration=handoff.duration,
+        idempotent=handoff.idempotent,
+        fingerprint=handoff.fingerprint,
+        deadline_left_us=handoff.deadline_left_us,
+        origin=handoff.origin,
+        forwards_left=handoff.forwards_left - 1,
+        retries_left=handoff.retries_left,
+    )
+    notice = messages.Forwarded(handoff.head.request_id, host_id)
+    return [
+        effects.SendPeer(host_id, onward),
+        effects.SendPeer(handoff.origin, notice),
+    ]
+
+
+def _refuse(handoff: messages.Handoff) -> effects.Effect:
+    result = messages.HandoffResult(
+        request_id=handoff.head.request_id,
+        verdict=Verdict.NOT_RUN,
+        reason=Reason.NOT_OWNER,
+    )
+    return effects.SendPeer(handoff.origin, result)
--- /dev/null
+++ b/foxtailreach/core/pool/health.py
@@ -0,0 +1,153 @@
+"""Detection of gray targets by sequential comparison with their peers.
+
+Each outcome of a target is a Bernoulli trial: did it take longer than the
+90th percentile of its peers, did it fail? A cumulative sum of log-likelihood
+ratios (Page's test) grows only while the target is worse than its peers, so
+the rule needs no assumption on the distribution of service times.
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections import deque
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+WINDOW_SAMPLES: Final = 128
+MIN_REFERENCE_SAMPLES: Final = 20
+REFERENCE_QUANTILE: Final = 0.9
+
+EJECT_SCORE: Final = 18.0
+PROBATION_SCORE: Final = 9.0
+PEERS_SICK_SCORE: Final = 9.0
+MAX_SCORE: Final = 40.0
+HARD_FAILURES: Final = 2
+SLOW_STEP: Final = 4
+
+SLOW_PROBABILITY_HEALTHY: Final = 0.1
+SLOW_PROBABILITY_GRAY: Final = 0.5
+ERROR_PROBABILITY_HEALTHY: Final = 0.02
+ERROR_PROBABILITY_GRAY: Final = 0.3
+
+
+class SequentialTest:
+    """Page's cumulative sum test of one Bernoulli rate against another."""
+
+    __slots__ = ('_failure_gain', '_success_gain', 'score')
+
+    def __init__(self, healthy: float, gray: float) -> None:
+        """Compare the failure rate `healthy` with `gray`."""
+        self._failure_gain = math.log(gray / healthy)
+        self._success_gain = math.log((1 - gray) / (1 - healthy))
+        self.score = 0.0
+
+    def record(self, *, failed: bool) -> None:
+        """Add one trial."""
+        gain = self._failure_gain if failed else self._success_gain
+        self.score = min(MAX_SCORE, max(0, self.score + gain))
+
+
+class TargetHealth:
+    """Recent outcomes of one target."""
+
+    __slots__ = ('errors', 'hard_failures', 'samples', 'slow')
+
+    def __init__(self) -> None:
+        """Start without a record."""
+        self.samples: dict[str, deque[int]] = {}
+        self.clear_scores()
+
+    def clear_scores(self) -> None:
+        """Forget all suspicion but keep the latency samples."""
+        self.hard_failures = 0
+        self.slow = SequentialTest(
+            SLOW_PROBABILITY_HEALTHY,
+            SLOW_PROBABILITY_GRAY,
+        )
+        self.errors = SequentialTest(
+            ERROR_PROBABILITY_HEALTHY,
+            ERROR_PROBABILITY_GRAY,
+        )
+
+    @property
+    def score(self) -> float:
+        """The larger of the two test statistics."""
+        return max(self.slow.score, self.errors.score)
+
+    def add_sample(self, duration_class: str, latency_us: int) -> None:
+        """Keep a latency for the comparison of other targets."""
+        samples = self.samples.get(duration_class)
+        if samples is None:
+            samples = deque(maxlen=WINDOW_SAMPLES)
+            self.samples[duration_class] = samples
+        samples.append(latency_us)
+
+    def quantile_us(self, duration_class: str) -> int | None:
+        """Return the reference quantile of this target's own samples."""
+        samples = self.samples.get(duration_class, ())
+        if len(samples) < MIN_REFERENCE_SAMPLES:
+            return None
+        ordered = sorted(samples)
+        return ordered[int(len(ordered) * REFERENCE_QUANTILE)]
+
+
+class PeerComparison:
+    """Reference latencies of a pool, refreshed at a fixed interval."""
+
+    __slots__ = ('_references',)
+
+    def __init__(self) -> None:
+        """Start without references, so that nothing counts as slow."""
+        self._references: dict[tuple[str, str], int] = {}
+
+    def refresh(self, healths: Mapping[str, TargetHealth]) -> None:
+        """Recompute each target's reference from the other targets."""
+        self._references.clear()
+        classes = {
+            duration_class
+            for health in healths.values()
+            for duration_class in health.samples
+        }
+        for duration_class in classes:
+            self._refresh_class(duration_class, healths)
+
+    def reference_us(self, target: str, duration_class: str) -> int | None:
+        """Return the latency above which an answer of `target` is slow."""
+        return self._references.get((target, duration_class))
+
+    def _refresh_class(
+        self,
+        duration_class: str,
+        healths: Mapping[str, TargetHealth],
+    ) -> None:
+        quantiles = {
+            name: health.quantile_us(duration_class)
+            for name, health in healths.items()
+        }
+        for name in healths:
+            others = [
+                quantile
+                for other, quantile in quantiles.items()
+                if other != name and quantile is not None
+            ]
+            if others:
+                median = statistics.median_low(others)
+                self._references[name, duration_class] = median
+
+
+def is_pool_sick(others: Iterable[TargetHealth]) -> bool:
+    """Tell whether most other targets are under suspicion as well."""
+    scores = [health.score for health in others]
+    return bool(scores) and statistics.median_low(scores) >= PEERS_SICK_SCORE
+
+
+def slow_level(latency_us: int, reference_us: int) -> int:
+    """Return how often a latency exceeds the reference by a further factor.
+
+    Level 1 is above the reference, level 2 above four times, and so on.
+    """
+    if latency_us <= reference_us:
+        return 0
+    ratio = latency_us / max(1, reference_us)
+    return 1 + int(math.log(ratio, SLOW_STEP))
--- /dev/null
+++ b/foxtailreach/core/pool/owner.py
@@ -0,0 +1,637 @@
+"""The owner of a pool: queues requests and sends them to targets.
+
+All slots, cold starts, ejections and retries of a pool are decided here, in
+one place. Methods return effects; none of them blocks.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from foxtailreach.config.objects import Service, Target
+from foxtailreach.core import effects, messages
+from foxtailreach.core.budget import RetryBudget
+from foxtailreach.core.crashes import CrashLedger
+from foxtailreach.core.events import AttemptOutcome
+from foxtailreach.core.pool import ejection
+from foxtailreach.core.pool.health import PeerComparison, slow_level
+from foxtailreach.core.pool.queue import FairQueue, Job
+from foxtailreach.core.pool.targets import TargetState, TargetStatus
+from foxtailreach.core.units import MILLISECOND_US
+from foxtailreach.core.verdict import Reason, Verdict, may_resend
+
+REFRESH_INTERVAL_US = 100 * MILLISECOND_US
+SERVICE_TIME_GAIN = 0.05
+DEFAULT_SERVICE_US = 20 * MILLISECOND_US
+SERVER_ERROR = 500
+LONG_SHARE = 0.5
+HANG_US = 1200 * MILLISECOND_US
+HANG_LEVEL = 3
+TRIAL_SCORE = 2.5
+MAX_SKIPPED_JOBS = 8
+
+Effects = list[effects.Effect]
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One request on one target."""
+
+    attempt_id: int
+    job: Job
+    state: TargetState
+    started_us: int
+    is_failed: bool = False
+    is_shed: bool = False
+    is_retryable: bool = False
+    is_relayed: bool = False
+    is_cancelled: bool = False
+    slow_level: int = 0
+
+    def verdict(self, *, was_sent: bool) -> Verdict:
+        """Tell whether the target may have run the request."""
+        if self.is_shed or not was_sent:
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
+
+    def reason(self, outcome: AttemptOutcome) -> Reason:
+        """Return why the attempt brought no complete answer."""
+        if self.is_shed:
+            return Reason.OVERLOAD
+        if self.is_cancelled:
+            return Reason.CANCELLED
+        if outcome is AttemptOutcome.TIMEOUT:
+            return Reason.DEADLINE
+        return Reason.TARGET_FAILED
+
+
+class PoolOwner:
+    """Decides for the targets of one service in one failure domain."""
+
+    __slots__ = (
+        '_attempts',
+        '_budget',
+        '_comparison',
+        '_crashes',
+        '_jobs',
+        '_long_in_flight',
+        '_next_attempt_id',
+        '_next_refresh_us',
+        '_queues',
+        '_rng',
+        '_service_us',
+        'activates_at_us',
+        'is_active',
+        'is_closing',
+        'is_suspended',
+        'pool_id',
+        'service',
+        'targets',
+    )
+
+    def __init__(
+        self,
+        pool_id: str,
+        service: Service,
+        crashes: CrashLedger,
+        next_attempt_id: Callable[[], int],
+        rng: random.Random,
+        now_us: int,
+    ) -> None:
+        """Create the owner of an empty pool; see `update_targets`."""
+        self.pool_id = pool_id
+        self.service = service
+        self.targets: dict[str, TargetState] = {}
+        self.activates_at_us = now_us
+        self.is_active = False
+        self.is_closing = False
+        self.is_suspended = False
+        self._crashes = crashes
+        self._next_attempt_id = next_attempt_id
+        self._rng = rng
+        self._attempts: dict[int, Attempt] = {}
+        self._jobs: dict[str, Job] = {}
+        self._queues = {'short': FairQueue(), 'long': FairQueue()}
+        self._long_in_flight = 0
+        self._comparison = PeerComparison()
+        self._budget = RetryBudget(now_us)
+        self._service_us = float(DEFAULT_SERVICE_US)
+        self._next_refresh_us = now_us
+
+    @property
+    def slots(self) -> int:
+        """Concurrent requests that the pool's targets may have now."""
+        return sum(state.allowed for state in self.targets.values())
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that could take a request now."""
+        return sum(max(0, state.free) for state in self.targets.values())
+
+    @property
+    def queued(self) -> int:
+        """Jobs that wait for a slot."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is queued or running."""
+        return not self._attempts and not self.queued
+
+    def load(self) -> messages.PoolLoad:
+        """Describe the pool's load for entry hosts and other owners."""
+        return messages.PoolLoad(
+            pool_id=self.pool_id,
+            slots=self.slots if self.is_active else 0,
+            busy=len(self._attempts),
+            queued=self.queued,
+            service_us=int(self._service_us),
+            age_us=0,
+        )
+
+    def update_targets(
+        self,
+        service: Service,
+        targets: Mapping[str, Target],
+        now_us: int,
+    ) -> Effects:
+        """Adopt the configured targets; absent ones finish their work."""
+        self.service = service
+        for name, target in targets.items():
+            self._update_target(name, target, now_us)
+        for name, state in self.targets.items():
+            if name not in targets:
+                state.is_draining = True
+        self._drop_drained()
+        return self._dispatch(now_us)
+
+    def adopt_allowances(
+        self,
+        allowances: tuple[messages.TargetAllowance, ...],
+        now_us: int,
+    ) -> Effects:
+        """Take over from an owner that stopped in an orderly way."""
+        for allowance in allowances:
+            state = self.targets.get(allowance.target)
+            if state is None:
+                continue
+            state.phantoms = allowance.in_flight
+            if not self.is_active:
+                state.ramp.reset(allowance.allowed, now_us)
+        self.activates_at_us = min(self.activates_at_us, now_us)
+        return self._dispatch(now_us)
+
+    def release_phantoms(self) -> None:
+        """Forget the requests that the former owner still had running."""
+        for state in self.targets.values():
+            state.phantoms = 0
+
+    def allowances(self) -> tuple[messages.TargetAllowance, ...]:
+        """Describe the healthy targets for a successor."""
+        return tuple(
+            messages.TargetAllowance(name, state.allowed, state.in_flight)
+            for name, state in self.targets.items()
+            if state.status is TargetStatus.HEALTHY
+        )
+
+    def submit(self, handoff: messages.Handoff, now_us: int) -> Effects:
+        """Accept a request, or refuse it at once if it would wait too long."""
+        job = self._create_job(handoff, now_us)
+        if self._crashes.is_quarantined(handoff.fingerprint):
+            return [self._refuse(job, Reason.QUARANTINED)]
+        if job.deadline_us <= now_us:
+            return [self._refuse(job, Reason.DEADLINE)]
+        if not self.slots:
+            return [self._refuse(job, Reason.NO_TARGET)]
+        wait_us = self.estimate_wait_us(handoff.customer, handoff.weight)
+        if now_us + wait_us > job.expires_us:
+            return [self._refuse(job, Reason.OVERLOAD, int(wait_us))]
+        self._budget.record_request()
+        self._jobs[job.request_id] = job
+        self._queues[handoff.duration].push(job)
+        return self._dispatch(now_us)
+
+    def estimate_wait_us(self, customer: str, weight: int) -> float:
+        """Estimate the queueing delay of one more request."""
+        slots = self.slots
+        if self.free_slots > self.queued:
+            return 0
+        ahead = sum(
+            queue.share_ahead(customer, weight)
+            for queue in self._queues.values()
+        )
+        return ahead * self._service_us / slots
+
+    def cancel(self, request_id: str, now_us: int) -> Effects:
+        """Stop a request whose caller is gone."""
+        job = self._jobs.get(request_id)
+        if job is None:
+            return []
+        if job.is_queued:
+            self._queues[job.handoff.duration].remove(job)
+            return [self._finish(job, Verdict.NOT_RUN, Reason.CANCELLED)]
+        return [
+            self._cancel_attempt(attempt)
+            for attempt in self._attempts.values()
+            if attempt.job is job
+        ]
+
+    def attempt_head(
+        self,
+        attempt_id: int,
+        status: int,
+        now_us: int,
+    ) -> Effects:
+        """Decide whether an answer is relayed or the request is retried."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return []
+        attempt.is_shed = status in self.service.shed_statuses
+        attempt.is_failed = not attempt.is_shed and status >= SERVER_ERROR
+        if not attempt.is_cancelled:
+            self._record_answer(attempt, now_us)
+        verdict = attempt.verdict(was_sent=True)
+        is_failure = attempt.is_shed or attempt.is_failed
+        if is_failure and self._can_retry(attempt.job, verdict, now_us):
+            attempt.is_retryable = True
+        if attempt.is_shed or attempt.is_retryable or attempt.is_cancelled:
+            return [effects.CancelAttempt(attempt_id)]
+        attempt.is_relayed = True
+        return [
+            effects.RelayAnswer(attempt_id),
+            *self._exonerate(attempt, now_us),
+        ]
+
+    def attempt_ended(
+        self,
+        attempt_id: int,
+        outcome: AttemptOutcome,
+        now_us: int,
+        *,
+        was_sent: bool,
+    ) -> Effects:
+        """Account for a finished attempt and continue with the queue."""
+        attempt = self._attempts.pop(attempt_id, None)
+        if attempt is None:
+            return []
+        attempt.state.in_flight -= 1
+        if attempt.job.handoff.duration == 'long':
+            self._long_in_flight -= 1
+        self._drop_drained()
+        return [
+            *self._record_outcome(attempt, outcome, now_us),
+            *self._conclude(attempt, outcome, now_us, was_sent=was_sent),
+            *self._eject_if_due(attempt.state, now_us),
+            *self._dispatch(now_us),
+        ]
+
+    def tick(self, now_us: int) -> Effects:
+        """Expire queued jobs, refresh references, start trials."""
+        step: Effects = []
+        for queue in self._queues.values():
+            step.extend(
+                self._finish(job, Verdict.NOT_RUN, Reason.OVERLOAD)
+                for job in queue.pop_expired(now_us)
+            )
+        if now_us >= self._next_refresh_us:
+            self._next_refresh_us = now_us + REFRESH_INTERVAL_US
+            step.extend(self._refresh(now_us))
+        return [*step, *self._dispatch(now_us)]
+
+    def drain_queue(self) -> Effects:
+        """Refuse all queued jobs so that their origins go elsewhere."""
+        step: Effects = []
+        for queue in self._queues.values():
+            while (job := queue.pop()) is not None:
+                step.append(
+                    self._finish(job, Verdict.NOT_RUN, Reason.NOT_OWNER),
+                )
+        return step
+
+    def _update_target(self, name: str, target: Target, now_us: int) -> None:
+        state = self.targets.get(name)
+        if state is None:
+            state = TargetState.from_config(name, target, self.service, now_us)
+            self.targets[name] = state
+        elif state.target.generation != target.generation or state.is_draining:
+            state.ramp.reset(self.service.cold_slots, now_us)
+        if state.ramp.slots != target.slots:
+            state.ramp.resize(target.slots, now_us)
+        state.target = target
+        state.is_draining = target.state == 'draining'
+
+    def _drop_drained(self) -> None:
+        for name, state in list(self.targets.items()):
+            if state.is_draining and not state.in_flight:
+                self.targets.pop(name)
+
+    def _create_job(self, handoff: messages.Handoff, now_us: int) -> Job:
+        deadline_us = now_us + handoff.deadline_left_us
+        max_queue_us = self.service.max_queue_ms * MILLISECOND_US
+        return Job(
+            handoff=handoff,
+            enqueued_us=now_us,
+            deadline_us=deadline_us,
+            expires_us=min(deadline_us, now_us + max_queue_us),
+            retries_left=handoff.retries_left,
+        )
+
+    def _dispatch(self, now_us: int) -> Effects:
+        step: Effects = []
+        self.is_active = now_us >= self.activates_at_us
+        if not self.is_active or self.is_suspended:
+            return step
+        skipped: list[Job] = []
+        while len(skipped) < MAX_SKIPPED_JOBS:
+            job = self._next_job()
+            if job is None:
+                break
+            state = self._pick_target(job, now_us)
+            if state is None:
+                skipped.append(job)
+            else:
+                step.append(self._start(job, state, now_us))
+        for job in skipped:
+            self._queues[job.handoff.duration].put_back(job)
+        return step
+
+    def _next_job(self) -> Job | None:
+        if self.free_slots <= 0:
+            return None
+        short, long = self._queues['short'], self._queues['long']
+        long_cap = max(1, int(self.slots * LONG_SHARE))
+        if len(long) and (not len(short) or self._long_in_flight < long_cap):
+            is_long_turn = self._long_in_flight == 0 or not len(short)
+            if is_long_turn:
+                return long.pop()
+        return short.pop() or long.pop()
+
+    def _pick_target(self, job: Job, now_us: int) -> TargetState | None:
+        candidates = [
+            state
+            for state in self.targets.values()
+            if state.free > 0 and self._suits(state, job, now_us)
+        ]
+        if not candidates:
+            return None
+        self._rng.shuffle(candidates)
+        chosen = min(candidates, key=_preference)
+        chosen.cool_if_idle(self.service, now_us)
+        return chosen
+
+    def _suits(self, state: TargetState, job: Job, now_us: int) -> bool:
+        if state.name in job.excluded or state.is_paused(now_us):
+            return False
+        if state.status is TargetStatus.TRIAL:
+            return job.handoff.idempotent
+        return True
+
+    def _start(
+        self,
+        job: Job,
+        state: TargetState,
+        now_us: int,
+    ) -> effects.StartAttempt:
+        attempt = Attempt(self._next_attempt_id(), job, state, now_us)
+        self._attempts[attempt.attempt_id] = attempt
+        state.in_flight += 1
+        if job.handoff.duration == 'long':
+            self._long_in_flight += 1
+        return effects.StartAttempt(
+            attempt_id=attempt.attempt_id,
+            head=job.handoff.head,
+            customer=job.handoff.customer,
+            origin=job.handoff.origin,
+            target=state.name,
+            address=str(state.target.address),
+            port=state.target.port,
+            deadline_us=job.deadline_us,
+            must_connect=not job.handoff.idempotent,
+        )
+
+    def _record_outcome(
+        self,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        now_us: int,
+    ) -> Effects:
+        state = attempt.state
+        match outcome:
+            case AttemptOutcome.CONNECT_FAILED:
+                state.record_connect_failure(now_us)
+            case AttemptOutcome.CONNECTION_LOST:
+                return self._report_crash(attempt, now_us)
+            case AttemptOutcome.PARTIAL | AttemptOutcome.TIMEOUT:
+                state.health.errors.record(failed=True)
+            case _:
+                return []
+        return []
+
+    def _record_answer(self, attempt: Attempt, now_us: int) -> None:
+        state = attempt.state
+        state.health.hard_failures = 0
+        if attempt.is_shed:
+            state.ramp.record_overload(now_us)
+            return
+        state.health.errors.record(failed=attempt.is_failed)
+        if attempt.is_failed or attempt.job.handoff.head.is_streamed:
+            return
+        latency_us = now_us - attempt.started_us
+        level = self._slow_level(attempt, latency_us)
+        is_slow = level > 0
+        if not is_slow:
+            state.health.slow.record(failed=False)
+        self._count_slow(attempt, level)
+        state.health.add_sample(attempt.job.handoff.duration, latency_us)
+        self._service_us += SERVICE_TIME_GAIN * (latency_us - self._service_us)
+        if state.status is TargetStatus.TRIAL and not is_slow:
+            state.record_trial_success(self.service, now_us)
+        state.ramp.record_success(now_us)
+
+    def _slow_level(self, attempt: Attempt, latency_us: int) -> int:
+        reference_us = self._comparison.reference_us(
+            attempt.state.name,
+            attempt.job.handoff.duration,
+        )
+        if reference_us is None:
+            return 0
+        return slow_level(latency_us, reference_us)
+
+    def _report_crash(self, attempt: Attempt, now_us: int) -> Effects:
+        fingerprint = attempt.job.handoff.fingerprint
+        if not self._crashes.is_suspect(fingerprint):
+            attempt.state.health.errors.record(failed=True)
+        report = messages.CrashRumor(
+            fingerprint=fingerprint,
+            target=attempt.state.name,
+            report_id=f'{attempt.job.request_id}/{attempt.attempt_id}',
+        )
+        self._crashes.absorb(report, now_us)
+        return [effects.SpreadRumor(report)]
+
+    def _exonerate(self, attempt: Attempt, now_us: int) -> Effects:
+        fingerprint = attempt.job.handoff.fingerprint
+        if not self._crashes.is_suspect(fingerprint):
+            return []
+        report = messages.CrashRumor(
+            fingerprint=fingerprint,
+            target='',
+            report_id=f'{attempt.job.request_id}/{attempt.attempt_id}',
+        )
+        self._crashes.absorb(report, now_us)
+        return [effects.SpreadRumor(report)]
+
+    def _conclude(
+        self,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        now_us: int,
+        *,
+        was_sent: bool,
+    ) -> Effects:
+        job = attempt.job
+        if outcome is AttemptOutcome.COMPLETE and attempt.is_relayed:
+            return [self._finish(job, Verdict.RAN, None)]
+        verdict = attempt.verdict(was_sent=was_sent)
+        if verdict is not Verdict.NOT_RUN:
+            job.may_have_run = True
+        if attempt.is_retryable:
+            return self._retry(attempt, now_us)
+        is_final = attempt.is_relayed or attempt.is_cancelled or attempt.is_shed
+        if not is_final and self._can_retry(job, verdict, now_us):
+            return self._retry(attempt, now_us)
+        return [self._finish(job, verdict, attempt.reason(outcome))]
+
+    def _can_retry(self, job: Job, verdict: Verdict, now_us: int) -> bool:
+        handoff = job.handoff
+        if self._crashes.is_quarantined(handoff.fingerprint):
+            return False
+        if handoff.head.is_streamed or job.retries_left <= 0:
+            return False
+        if now_us >= job.deadline_us:
+            return False
+        if not may_resend(verdict, idempotent=handoff.idempotent):
+            return False
+        return self._budget.spend_retry(now_us)
+
+    def _retry(self, attempt: Attempt, now_us: int) -> Effects:
+        job = attempt.job
+        job.retries_left -= 1
+        job.excluded.add(attempt.state.name)
+        if not self._has_alternative(job):
+            return [self._finish(job, Verdict.NOT_RUN, Reason.NO_TARGET)]
+        max_queue_us = self.service.max_queue_ms * MILLISECOND_US
+        job.expires_us = min(job.deadline_us, now_us + max_queue_us)
+        self._queues[job.handoff.duration].push_front(job)
+        return []
+
+    def _has_alternative(self, job: Job) -> bool:
+        return any(
+            state.allowed > 0 and name not in job.excluded
+            for name, state in self.targets.items()
+        )
+
+    def _finish(
+        self,
+        job: Job,
+        verdict: Verdict,
+        reason: Reason | None,
+        retry_after_us: int = 0,
+    ) -> effects.Effect:
+        self._jobs.pop(job.request_id, None)
+        if job.may_have_run and verdict is Verdict.NOT_RUN:
+            verdict = Verdict.MAY_HAVE_RUN
+        return effects.SendPeer(
+            job.handoff.origin,
+            messages.HandoffResult(
+                request_id=job.request_id,
+                verdict=verdict,
+                reason=reason,
+                retry_after_us=retry_after_us,
+                loads=(self.load(),),
+            ),
+        )
+
+    def _refuse(
+        self,
+        job: Job,
+        reason: Reason,
+        retry_after_us: int = 0,
+    ) -> effects.Effect:
+        return self._finish(job, Verdict.NOT_RUN, reason, retry_after_us)
+
+    def _cancel_attempt(self, attempt: Attempt) -> effects.Effect:
+        attempt.is_cancelled = True
+        return effects.CancelAttempt(attempt.attempt_id)
+
+    def _refresh(self, now_us: int) -> Effects:
+        healths = {
+            name: state.health
+            for name, state in self.targets.items()
+            if state.status is TargetStatus.HEALTHY
+        }
+        self._comparison.refresh(healths)
+        for attempt in self._attempts.values():
+            self._count_overdue(attempt, now_us)
+        step: Effects = []
+        for state in self.targets.values():
+            step.extend(self._eject_if_due(state, now_us))
+            is_due = now_us >= state.retry_at_us
+            if state.status is TargetStatus.EJECTED and is_due:
+                state.begin_trial()
+        return step
+
+    def _count_overdue(self, attempt: Attempt, now_us: int) -> None:
+        if attempt.is_relayed or attempt.job.handoff.head.is_streamed:
+            return
+        level = self._slow_level(attempt, now_us - attempt.started_us)
+        self._count_slow(attempt, level)
+
+    def _count_slow(self, attempt: Attempt, level: int) -> None:
+        while attempt.slow_level < level:
+            attempt.slow_level += 1
+            attempt.state.health.slow.record(failed=True)
+
+    def _is_hung(self, state: TargetState, now_us: int) -> bool:
+        waiting = [
+            attempt
+            for attempt in self._attempts.values()
+            if attempt.state is state and not attempt.is_relayed
+        ]
+        if len(waiting) < max(1, state.allowed):
+            return False
+        return all(
+            now_us - attempt.started_us >= HANG_US
+            and self._slow_level(attempt, now_us - attempt.started_us)
+            >= HANG_LEVEL
+            for attempt in waiting
+        )
+
+    def _eject_if_due(self, state: TargetState, now_us: int) -> Effects:
+        if state.status is TargetStatus.EJECTED or state.is_draining:
+            return []
+        cause = self._ejection_cause(state, now_us)
+        if not cause:
+            return []
+        is_trial = state.status is TargetStatus.TRIAL
+        if not is_trial and not ejection.may_eject(self.targets, self.service):
+            return []
+        state.eject(now_us)
+        return [effects.Note('target-ejected', state.name, cause)]
+
+    def _ejection_cause(self, state: TargetState, now_us: int) -> str:
+        if state.status is TargetStatus.TRIAL:
+            health = state.health
+            is_bad = health.hard_failures or health.score > TRIAL_SCORE
+            return 'failed trial' if is_bad else ''
+        if self._is_hung(state, now_us):
+            return 'no answers'
+        return ejection.should_eject(state, self.targets, now_us)
+
+
+def _preference(state: TargetState) -> tuple[bool, bool, float]:
+    is_regular = state.status is TargetStatus.HEALTHY
+    load = (state.in_flight + 1) / max(1, state.allowed)
+    return state.is_suspect, not is_regular, load
--- /dev/null
+++ b/foxtailreach/core/ranking.py
@@ -0,0 +1,31 @@
+"""Rendezvous hashing: every host ranks candidates alike without messages."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rendezvous_score(candidate: str, subject: str) -> int:
+    """Return the 64-bit weight of `candidate` for `subject`."""
+    text = f'{candidate}\0{subject}'
+    return int(xxhash.xxh64_intdigest(text.encode()))
+
+
+def rank_candidates(candidates: Iterable[str], subject: str) -> list[str]:
+    """Order candidates by descending weight for `subject`."""
+    return sorted(
+        candidates,
+        key=lambda candidate: rendezvous_score(candidate, subject),
+        reverse=True,
+    )
+
+
+def top_candidate(candidates: Iterable[str], subject: str) -> str | None:
+    """Return the candidate with the highest weight, if there is one."""
+    return max(
+        candidates,
+        key=lambda candidate: rendezvous_score(candidate, subject),
+        default=None,
+    )
--- /dev/null
+++ b/foxtailreach/core/relay.py
@@ -0,0 +1,113 @@
+"""Relays the log between hosts, so that few hosts need to read it."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from foxtailreach.config.records import SnapshotRecord, decode_record
+from foxtailreach.core import effects, messages
+from foxtailreach.core.fold import Fold
+from foxtailreach.core.knowledge import Knowledge
+from foxtailreach.core.membership import Membership
+from foxtailreach.core.units import MILLISECOND_US
+from foxtailreach.exceptions import ProtocolError
+
+RETAINED_RECORDS = 256
+PULL_INTERVAL_US = 200 * MILLISECOND_US
+
+Effects = list[effects.Effect]
+
+
+class LogRelay:
+    """Folds records from the log or from peers and passes them on."""
+
+    __slots__ = (
+        '_fold',
+        '_knowledge',
+        '_membership',
+        '_next_pull_us',
+        '_recent',
+    )
+
+    def __init__(
+        self,
+        fold: Fold,
+        knowledge: Knowledge,
+        membership: Membership,
+    ) -> None:
+        """Create a relay over the node's fold."""
+        self._fold = fold
+        self._knowledge = knowledge
+        self._membership = membership
+        self._next_pull_us = 0
+        self._recent: deque[messages.LogRecord] = deque(maxlen=RETAINED_RECORDS)
+
+    def absorb(self, records: tuple[messages.LogRecord, ...]) -> bool:
+        """Fold records in order; true if any was new."""
+        is_new = False
+        for record in records:
+            if self._fold.apply(record.offset, record.payload):
+                self._recent.append(record)
+                is_new = True
+        return is_new
+
+    def batch(
+        self,
+        records: tuple[messages.LogRecord, ...],
+        now_us: int,
+    ) -> messages.LogBatch:
+        """Build the message that passes records on."""
+        return messages.LogBatch(records, self._knowledge.age_us(now_us))
+
+    def answer_pull(
+        self,
+        sender: str,
+        pull: messages.LogPull,
+        now_us: int,
+    ) -> Effects:
+        """Send what a peer lacks: recent records, or a snapshot."""
+        if pull.next_offset >= self._fold.next_offset:
+            return []
+        missing = tuple(
+            record
+            for record in self._recent
+            if record.offset >= pull.next_offset
+        )
+        if missing and missing[0].offset == pull.next_offset:
+            return [effects.SendPeer(sender, self.batch(missing, now_us))]
+        hosts = tuple(state.entry for state in self._membership.hosts.values())
+        snapshot = messages.Snapshot(
+            payload=self._fold.encoded_snapshot(),
+            next_offset=self._fold.next_offset,
+            log_age_us=self._knowledge.age_us(now_us),
+            hosts=hosts,
+        )
+        return [effects.SendPeer(sender, snapshot)]
+
+    def adopt_snapshot(self, snapshot: messages.Snapshot) -> bool:
+        """Take over a peer's folded state if it is ahead."""
+        try:
+            record = decode_record(snapshot.payload)
+        except ProtocolError:
+            return False
+        if not isinstance(record, SnapshotRecord):
+            return False
+        return self._fold.restore(record)
+
+    def compare(
+        self,
+        host_id: str,
+        log_offset: int,
+        log_age_us: int,
+        now_us: int,
+    ) -> Effects:
+        """React to a peer's position in the log."""
+        if log_offset > self._fold.next_offset:
+            if now_us < self._next_pull_us:
+                return []
+            self._next_pull_us = now_us + PULL_INTERVAL_US
+            pull = messages.LogPull(self._fold.next_offset)
+            return [effects.SendPeer(host_id, pull)]
+        if log_offset == self._fold.next_offset and log_age_us >= 0:
+            self._knowledge.record_read(now_us - log_age_us)
+        return []
--- /dev/null
+++ b/foxtailreach/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets and carry out the effects of a node."""
--- /dev/null
+++ b/foxtailreach/daemon/clock.py
@@ -0,0 +1,17 @@
+"""Monotonic time in the core's unit."""
+
+from __future__ import annotations
+
+import time
+
+_NS_PER_US = 1000
+
+
+def monotonic_us() -> int:
+    """Return the monotonic clock in microseconds."""
+    return time.monotonic_ns() // _NS_PER_US
+
+
+def wall_ms() -> int:
+    """Return the wall clock in milliseconds, for incarnations."""
+    return int(time.time() * _NS_PER_US)
--- /dev/null
+++ b/foxtailreach/daemon/edge.py
@@ -0,0 +1,419 @@
+"""The HTTP server that callers talk to."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import math
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import xxhash
+from opentelemetry.trace import Span, Tracer, set_span_in_context
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+from tornado import httputil
+from tornado.iostream import StreamClosedError
+
+from foxtailreach.config.defaults import LimitsSection
+from foxtailreach.core.events import AnswerStarted, CallerGone, CallerRequest
+from foxtailreach.core.messages import Header, RequestHead
+from foxtailreach.core.verdict import Refusal, Verdict
+from foxtailreach.daemon import headers as fields
+from foxtailreach.daemon.pipes import BodyPipe
+from foxtailreach.rpc.frames import Answer
+
+INLINE_BODY_BYTES = 65536
+_METHODS = frozenset(
+    (
+        'GET',
+        'HEAD',
+        'POST',
+        'PUT',
+        'PATCH',
+        'DELETE',
+        'OPTIONS',
+    )
+)
+_BODILESS_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+_BODILESS_STATUSES = frozenset((204, 304))
+_US_PER_S = 1_000_000
+_US_PER_MS = 1000
+_FINGERPRINT_SHIFT = 1
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+EdgeEvent = CallerRequest | CallerGone | AnswerStarted
+
+
+class EdgeHost(Protocol):
+    """What an exchange needs from its host."""
+
+    limits: LimitsSection
+    tracer: Tracer
+
+    def post(self, event: EdgeEvent) -> None:
+        """Deliver an event to the node."""
+
+    def register(self, exchange: Exchange) -> None:
+        """Make an exchange known by its request id."""
+
+    def unregister(self, exchange: Exchange) -> None:
+        """Forget an exchange."""
+
+    def count_refusal(self, refusal: Refusal) -> None:
+        """Count a refusal for the metrics."""
+
+
+class Edge(httputil.HTTPServerConnectionDelegate):
+    """Creates an exchange for every request of every connection."""
+
+    def __init__(self, host: EdgeHost, incarnation: int) -> None:
+        """Create the delegate; request ids start with the incarnation."""
+        self._host = host
+        self._prefix = f'{incarnation:x}'
+        self._sequence = itertools.count(1)
+        self.open_exchanges = 0
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: httputil.HTTPConnection,
+    ) -> httputil.HTTPMessageDelegate:
+        """Begin one request."""
+        request_id = f'{self._prefix}-{next(self._sequence):x}'
+        return Exchange(request_id, request_conn, self._host)
+
+
+class Exchange(httputil.HTTPMessageDelegate):
+    """One caller's request and the answer to it."""
+
+    def __init__(
+        self,
+        request_id: str,
+        connection: httputil.HTTPConnection,
+        host: EdgeHost,
+    ) -> None:
+        """Wait for the request's headers."""
+        self.request_id = request_id
+        self.hop_id = ''
+        self.on_ready: Callable[[], None] | None = None
+        self.on_answer_drained: Callable[[int], None] | None = None
+        self.body: BodyPipe | None = None
+        self.answer = BodyPipe()
+        self.is_over = False
+        self._connection = connection
+        self._host = host
+        self._inline: list[bytes] = []
+        self._received_bytes = 0
+        self._drained = asyncio.Event()
+        self._head: RequestHead | None = None
+        self._key = ''
+        self._method = ''
+        self._timeout_us: int | None = None
+        self._idempotency_key = ''
+        self._span: Span | None = None
+        self._writer: asyncio.Task[None] | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the caller takes bytes fast enough."""
+        return not self.answer.is_full
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        """Check the head; start at once if the body will be streamed."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._method = start_line.method
+        fault = self._fault(start_line, headers)
+        if fault is not None:
+            self._refuse_plainly(*fault)
+            return None
+        self._key = fields.caller_key(headers) or ''
+        self._idempotency_key = headers.get('Idempotency-Key', '')
+        self._timeout_us = _timeout_us(headers)
+        self._start_span(start_line, headers)
+        self._head = self._request_head(start_line, headers)
+        if self._head.body_length > INLINE_BODY_BYTES or self._is_chunked(
+            headers,
+        ):
+            self.body = BodyPipe()
+            self.body.on_drained = self._body_drained
+            self._admit(self._head)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Take a part of the request's body."""
+        if self.is_over:
+            return None
+        self._received_bytes += len(chunk)
+        if self.body is None:
+            self._inline.append(chunk)
+            return None
+        self.body.feed(chunk)
+        if self.body.is_full:
+            self._drained.clear()
+            return self._drained.wait()  # type: ignore[return-value]
+        return None
+
+    def finish(self) -> None:
+        """Start the request, or end its streamed body."""
+        if self.is_over or self._head is None:
+            return
+        if self.body is not None:
+            self.body.feed(b'', is_last=True)
+            return
+        body = b''.join(self._inline)
+        self._admit(
+            RequestHead(
+                request_id=self._head.request_id,
+                method=self._head.method,
+                path=self._head.path,
+                headers=self._head.headers,
+                body=body,
+                body_length=len(body),
+            ),
+        )
+
+    def on_connection_close(self) -> None:
+        """Cancel the request; nobody waits for its answer."""
+        if self.is_over:
+            return
+        self._end()
+        self._host.post(CallerGone(self.request_id))
+
+    def start(self, answer: Answer) -> None:
+        """Send the head of a target's answer."""
+        if self.is_over or self._writer is not None:
+            return
+        self._host.post(AnswerStarted(self.request_id))
+        headers = httputil.HTTPHeaders()
+        for header in answer.headers:
+            headers.add(header.name, header.value)
+        headers[fields.VERDICT_HEADER] = Verdict.RAN.value
+        if answer.is_whole and self._method != 'HEAD':
+            if answer.status not in _BODILESS_STATUSES:
+                headers['Content-Length'] = str(len(answer.body))
+        line = httputil.ResponseStartLine(
+            'HTTP/1.1',
+            answer.status,
+            answer.phrase,
+        )
+        self.answer.on_drained = self._answer_drained
+        self.answer.feed(answer.body, is_last=answer.is_whole)
+        self._writer = asyncio.ensure_future(self._write(line, headers))
+
+    def chunk(self, body: bytes, *, is_last: bool) -> None:
+        """Send a part of the answer's body."""
+        self.answer.feed(body, is_last=is_last)
+
+    def cut(self) -> None:
+        """Break the connection, so that the answer can't pass as whole."""
+        if self._writer is not None:
+            self.answer.break_off()
+        elif not self.is_over:
+            self._close()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send an answer of the system's own."""
+        if self.is_over:
+            return
+        retry_after_s = math.ceil(refusal.retry_after_us / _US_PER_S)
+        self._host.count_refusal(refusal)
+        self._refuse_with(
+            refusal.status,
+            refusal.verdict,
+            refusal.reason,
+            retry_after_s,
+        )
+
+    def set_customer(self, customer: str) -> None:
+        """Name the customer on the span, once it is known."""
+        if self._span is not None:
+            self._span.set_attribute('customer', customer)
+
+    def _fault(
+        self,
+        line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> tuple[int, str] | None:
+        limits = self._host.limits
+        if line.method not in _METHODS:
+            return 501, 'unknown-method'
+        if fields.size_bytes(headers) > limits.max_header_bytes:
+            return 431, 'headers-too-long'
+        if fields.caller_key(headers) is None:
+            return 400, 'clashing-keys'
+        length = int(headers.get('Content-Length', '0') or 0)
+        if length > limits.max_body_bytes:
+            return 413, 'body-too-long'
+        has_body = length > 0 or self._is_chunked(headers)
+        if has_body and line.method in _BODILESS_METHODS:
+            return 400, 'unexpected-body'
+        if not line.path.startswith('/'):
+            return 400, 'bad-path'
+        return None
+
+    def _is_chunked(self, headers: httputil.HTTPHeaders) -> bool:
+        return 'Transfer-Encoding' in headers
+
+    def _request_head(
+        self,
+        line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> RequestHead:
+        body_length = int(headers.get('Content-Length', '0') or 0)
+        if self._is_chunked(headers):
+            body_length = -1
+        return RequestHead(
+            request_id=self.request_id,
+            method=line.method,
+            path=line.path,
+            headers=self._forwarded_headers(headers),
+            body_length=body_length,
+        )
+
+    def _forwarded_headers(
+        self,
+        headers: httputil.HTTPHeaders,
+    ) -> tuple[Header, ...]:
+        kept = [
+            header
+            for header in fields.request_headers(headers)
+            if header.name.lower() not in {'traceparent', 'tracestate'}
+        ]
+        carrier: dict[str, str] = {}
+        if self._span is not None:
+            context = set_span_in_context(self._span)
+            _PROPAGATOR.inject(carrier, context)
+        kept.extend(Header(name, text) for name, text in carrier.items())
+        return tuple(kept)
+
+    def _start_span(
+        self,
+        line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        carrier = {name.lower(): text for name, text in headers.get_all()}
+        context = _PROPAGATOR.extract(carrier)
+        self._span = self._host.tracer.start_span(
+            f'entry {line.method}',
+            context=context,
+            attributes={'request.id': self.request_id},
+        )
+
+    def _admit(self, head: RequestHead) -> None:
+        self._host.register(self)
+        self._host.post(
+            CallerRequest(
+                head=head,
+                key=self._key,
+                fingerprint=_fingerprint(head, self._idempotency_key),
+                timeout_us=self._timeout_us,
+            ),
+        )
+
+    def _refuse_plainly(self, status: int, reason: str) -> None:
+        self._refuse_with(status, Verdict.NOT_RUN, reason, 0)
+
+    def _refuse_with(
+        self,
+        status: int,
+        verdict: Verdict,
+        reason: str,
+        retry_after_s: int,
+    ) -> None:
+        text = json.dumps(
+            {
+                'verdict': verdict.value,
+                'reason': reason,
+                'retry_after': retry_after_s,
+            }
+        )
+        body = text.encode()
+        headers = httputil.HTTPHeaders(
+            {
+                'Content-Type': 'application/json',
+                'Content-Length': str(len(body)),
+                fields.VERDICT_HEADER: verdict.value,
+            }
+        )
+        if retry_after_s:
+            headers['Retry-After'] = str(retry_after_s)
+        if status == 401:
+            headers['WWW-Authenticate'] = 'Bearer'
+        phrase = httputil.responses.get(status, 'Refused')
+        line = httputil.ResponseStartLine('HTTP/1.1', status, phrase)
+        if self._method != 'HEAD':
+            self.answer.feed(body)
+        self.answer.feed(b'', is_last=True)
+        self._writer = asyncio.ensure_future(self._write(line, headers))
+
+    async def _write(
+        self,
+        line: httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        try:
+            chunk = self.answer.take(INLINE_BODY_BYTES)
+            await self._connection.write_headers(line, headers, chunk or None)
+            while not self.answer.is_finished:
+                chunk = await self.answer.read()
+                if chunk:
+                    await self._connection.write(chunk)
+            self._connection.finish()
+        except (StreamClosedError, httputil.HTTPOutputError):
+            self._abandon()
+        except Exception:
+            self._abandon()
+            raise
+        finally:
+            self._end()
+
+    def _abandon(self) -> None:
+        self._close()
+        if not self.is_over:
+            self._host.post(CallerGone(self.request_id))
+
+    def _close(self) -> None:
+        stream = getattr(self._connection, 'stream', None)
+        if stream is not None:
+            stream.close()
+
+    def _end(self) -> None:
+        if self.is_over:
+            return
+        self.is_over = True
+        self._host.unregister(self)
+        if self.body is not None:
+            self.body.break_off()
+        self._drained.set()
+        if self._span is not None:
+            self._span.end()
+
+    def _body_drained(self, size_bytes: int) -> None:
+        if self.body is not None and not self.body.is_full:
+            self._drained.set()
+
+    def _answer_drained(self, size_bytes: int) -> None:
+        if self.on_answer_drained is not None:
+            self.on_answer_drained(size_bytes)
+        if self.on_ready is not None and self.is_ready:
+            self.on_ready()
+
+
+def _timeout_us(headers: httputil.HTTPHeaders) -> int | None:
+    text = headers.get(fields.TIMEOUT_HEADER, '')
+    return int(text) * _US_PER_MS if text.isdigit() else None
+
+
+def _fingerprint(head: RequestHead, idempotency_key: str) -> int:
+    """Hash what makes a request crash a target, as a positive 63-bit value."""
+    text = f'{head.method}\0{head.path}\0{idempotency_key}\0'
+    digest = xxhash.xxh64(text.encode())
+    digest.update(head.body)
+    return int(digest.intdigest()) >> _FINGERPRINT_SHIFT
--- /dev/null
+++ b/foxtailreach/daemon/headers.py
@@ -0,0 +1,92 @@
+"""What may cross from callers to targets and back.
+
+Hop-by-hop fields, fields that `Connection` names, the caller's key and
+fields that only this system may set are removed at the edge.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from tornado.httputil import HTTPHeaders
+
+from foxtailreach.core.messages import Header
+
+OWN_PREFIX = 'foxtailreach-'
+VERDICT_HEADER = 'Foxtailreach-Verdict'
+CUSTOMER_HEADER = 'Foxtailreach-Customer'
+DEADLINE_HEADER = 'Foxtailreach-Deadline-Ms'
+TIMEOUT_HEADER = 'Foxtailreach-Timeout-Ms'
+KEY_HEADER = 'X-Api-Key'
+BEARER = 'bearer '
+
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_IDENTITY = frozenset(
+    (
+        'authorization',
+        'expect',
+        'forwarded',
+        'host',
+        'x-api-key',
+        'x-forwarded-for',
+        'x-forwarded-host',
+        'x-forwarded-proto',
+        'x-real-ip',
+    )
+)
+_FRAMING = frozenset(('content-length',))
+
+
+def caller_key(headers: HTTPHeaders) -> str | None:
+    """Return the caller's key, '' if none came, None if several clash."""
+    keys = set(headers.get_list(KEY_HEADER))
+    for credentials in headers.get_list('Authorization'):
+        if credentials.lower().startswith(BEARER):
+            keys.add(credentials[len(BEARER) :].strip())
+    if len(keys) > 1:
+        return None
+    return next(iter(keys), '')
+
+
+def request_headers(headers: HTTPHeaders) -> tuple[Header, ...]:
+    """Return the fields of a request that may reach a target."""
+    dropped = _HOP_BY_HOP | _IDENTITY | _FRAMING | _named(headers)
+    return tuple(_keep(headers.get_all(), dropped))
+
+
+def answer_headers(headers: HTTPHeaders) -> tuple[Header, ...]:
+    """Return the fields of an answer that may reach a caller."""
+    dropped = _HOP_BY_HOP | _named(headers)
+    return tuple(_keep(headers.get_all(), dropped))
+
+
+def size_bytes(headers: HTTPHeaders) -> int:
+    """Return the size of all header fields as sent."""
+    return sum(len(name) + len(text) for name, text in headers.get_all())
+
+
+def _named(headers: HTTPHeaders) -> frozenset[str]:
+    named = headers.get('Connection', '').lower().split(',')
+    return frozenset(name.strip() for name in named)
+
+
+def _keep(
+    fields: Iterable[tuple[str, str]],
+    dropped: frozenset[str],
+) -> Iterable[Header]:
+    for name, text in fields:
+        lowered = name.lower()
+        if lowered not in dropped and not lowered.startswith(OWN_PREFIX):
+            yield Header(name, text)
--- /dev/null
+++ b/foxtailreach/daemon/platform.py
@@ -0,0 +1,106 @@
+"""Client of the platform's log service and host list."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+from foxtailreach.core.events import HostsListed, LogRead
+from foxtailreach.core.messages import HostEntry, LogRecord
+from foxtailreach.exceptions import PlatformUnavailableError
+
+STREAM = 'foxtailreach'
+MAX_RECORDS = 500
+_MS_PER_S = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformAddress:
+    """Where the platform answers, and for how long to wait."""
+
+    address: str
+    port: int
+    timeout_ms: int
+
+    @property
+    def url(self) -> str:
+        """Base URL of the service."""
+        return f'http://{self.address}:{self.port}'
+
+
+class PlatformClient:
+    """Reads and appends to the log; every failure is one exception type."""
+
+    __slots__ = ('_address', '_client')
+
+    def __init__(self, address: PlatformAddress) -> None:
+        """Create a client with connections of its own."""
+        self._address = address
+        self._client = CurlAsyncHTTPClient(force_instance=True)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def read(self, next_offset: int) -> LogRead:
+        """Read records from `next_offset` on.
+
+        Raises PlatformUnavailableError if the log does not answer.
+        """
+        path = f'/streams/{STREAM}?from={next_offset}&limit={MAX_RECORDS}'
+        page = await self._fetch('GET', path)
+        return LogRead(
+            records=tuple(
+                LogRecord(entry['offset'], entry['payload'].encode())
+                for entry in page['records']
+            ),
+            first_offset=page['first_offset'],
+            next_offset=page['next_offset'],
+        )
+
+    async def append(self, payload: bytes) -> int:
+        """Append a record and return its offset.
+
+        Raises PlatformUnavailableError; the record may exist all the same.
+        """
+        page = await self._fetch('POST', f'/streams/{STREAM}', payload)
+        return int(page['offset'])
+
+    async def hosts(self) -> HostsListed:
+        """Read the host list."""
+        page = await self._fetch('GET', '/hosts')
+        return HostsListed(
+            tuple(HostEntry(**entry) for entry in page['hosts']),
+        )
+
+    async def _fetch(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+    ) -> Any:
+        timeout_s = self._address.timeout_ms / _MS_PER_S
+        request = HTTPRequest(
+            self._address.url + path,
+            method=method,
+            body=body,
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+        )
+        try:
+            response = await self._client.fetch(request)
+        except (HTTPClientError, OSError) as error:
+            raise PlatformUnavailableError(
+                f'the log service at {self._address.url} '
+                f'does not answer: {error}',
+            ) from error
+        try:
+            return json.loads(response.body)
+        except ValueError as error:
+            raise PlatformUnavailableError(
+                f'the log service at {self._address.url} sent no JSON',
+            ) from error
--- /dev/null
+++ b/foxtailreach/daemon/transfers.py
@@ -0,0 +1,262 @@
+"""Bodies on their way between this host, callers, targets and other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from foxtailreach.core.entry import request_of_hop
+from foxtailreach.core.messages import Handoff
+from foxtailreach.daemon.edge import Exchange
+from foxtailreach.daemon.pipes import (
+    BodyPipe,
+    CreditWindow,
+    PipeBrokenError,
+)
+from foxtailreach.daemon.sinks import AnswerSink, PeerSink
+from foxtailreach.rpc import frames
+
+SendFrame = Callable[[str, frames.Frame], None]
+
+
+class LocalSink:
+    """Passes an answer to a caller of this host while its hop is current."""
+
+    __slots__ = ('_exchange', '_hop_id')
+
+    def __init__(self, exchange: Exchange, hop_id: str) -> None:
+        """Create a sink for one handoff of the exchange's request."""
+        self._exchange = exchange
+        self._hop_id = hop_id
+
+    @property
+    def on_ready(self) -> Callable[[], None] | None:
+        """Callback of the producer that waits for the caller."""
+        return self._exchange.on_ready
+
+    @on_ready.setter
+    def on_ready(self, callback: Callable[[], None] | None) -> None:
+        if self._is_current:
+            self._exchange.on_ready = callback
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the caller takes bytes fast enough."""
+        return not self._is_current or self._exchange.is_ready
+
+    def start(self, answer: frames.Answer) -> None:
+        """Send the head of the answer."""
+        if self._is_current:
+            self._exchange.start(answer)
+
+    def chunk(self, body: bytes, *, is_last: bool) -> None:
+        """Send a part of the body."""
+        if self._is_current:
+            self._exchange.chunk(body, is_last=is_last)
+
+    def cut(self) -> None:
+        """Break the answer off."""
+        if self._is_current:
+            self._exchange.cut()
+
+    @property
+    def _is_current(self) -> bool:
+        return self._exchange.hop_id == self._hop_id
+
+
+class NullSink:
+    """Swallows the answer to a caller that is gone."""
+
+    on_ready: Callable[[], None] | None = None
+    is_ready = True
+
+    def start(self, answer: frames.Answer) -> None:
+        """Ignore the head."""
+
+    def chunk(self, body: bytes, *, is_last: bool) -> None:
+        """Ignore a part of the body."""
+
+    def cut(self) -> None:
+        """Ignore the break."""
+
+
+class Transfers:
+    """Pipes, windows and sinks by handoff."""
+
+    __slots__ = (
+        '_exchanges',
+        '_host_id',
+        '_pipes',
+        '_pumps',
+        '_send',
+        '_sinks',
+        '_windows',
+    )
+
+    def __init__(self, host_id: str, send: SendFrame) -> None:
+        """Create an empty table; `send` sends a frame to a host."""
+        self._host_id = host_id
+        self._send = send
+        self._exchanges: dict[str, Exchange] = {}
+        self._pipes: dict[str, BodyPipe] = {}
+        self._windows: dict[str, CreditWindow] = {}
+        self._sinks: dict[str, PeerSink] = {}
+        self._pumps: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def open_exchanges(self) -> int:
+        """Requests of callers that are not finished."""
+        return len(self._exchanges)
+
+    def register(self, exchange: Exchange) -> None:
+        """Make a caller's exchange known."""
+        self._exchanges[exchange.request_id] = exchange
+
+    def unregister(self, exchange: Exchange) -> None:
+        """Forget a caller's exchange."""
+        self._exchanges.pop(exchange.request_id, None)
+        window = self._windows.pop(exchange.hop_id, None)
+        if window is not None:
+            window.close()
+
+    def exchange(self, request_id: str) -> Exchange | None:
+        """Return an exchange by the caller's request id."""
+        return self._exchanges.get(request_id)
+
+    def begin_hop(self, handoff: Handoff, host_id: str) -> None:
+        """Note the current handoff; pump a streamed body to its owner."""
+        hop_id = handoff.head.request_id
+        exchange = self._exchanges.get(request_of_hop(hop_id))
+        if exchange is None or handoff.origin != self._host_id:
+            return
+        exchange.hop_id = hop_id
+        if handoff.head.is_streamed and exchange.body is not None:
+            window = CreditWindow()
+            self._windows[hop_id] = window
+            pump = self._pump(hop_id, host_id, exchange.body, window)
+            self._pumps[hop_id] = asyncio.ensure_future(pump)
+
+    def accept_handoff(self, handoff: Handoff, sender: str) -> None:
+        """Prepare to receive the streamed body of a handed-off request."""
+        if handoff.head.is_streamed:
+            hop_id = handoff.head.request_id
+            pipe = BodyPipe()
+            pipe.on_drained = self._credit_sender(hop_id, sender)
+            self._pipes[hop_id] = pipe
+
+    def end_handoff(self, hop_id: str) -> None:
+        """Drop the body of a handed-off request."""
+        pipe = self._pipes.pop(hop_id, None)
+        if pipe is not None:
+            pipe.break_off()
+
+    def body_of(self, hop_id: str, origin: str) -> BodyPipe | None:
+        """Return the streamed body of a request."""
+        if origin != self._host_id:
+            return self._pipes.get(hop_id)
+        exchange = self._exchanges.get(request_of_hop(hop_id))
+        return None if exchange is None else exchange.body
+
+    def open_sink(self, hop_id: str, origin: str) -> AnswerSink:
+        """Return where the answer to a request goes."""
+        if origin != self._host_id:
+            sink = PeerSink(hop_id, lambda frame: self._send(origin, frame))
+            self._sinks[hop_id] = sink
+            return sink
+        exchange = self._exchanges.get(request_of_hop(hop_id))
+        if exchange is None:
+            return NullSink()
+        exchange.hop_id = hop_id
+        return LocalSink(exchange, hop_id)
+
+    def close_sink(self, hop_id: str) -> None:
+        """Forget the sink of a finished attempt."""
+        self._sinks.pop(hop_id, None)
+
+    def receive(self, sender: str, frame: frames.Frame) -> None:
+        """Handle a frame that carries a body or a credit."""
+        match frame:
+            case frames.BodyChunk(request_id=hop_id):
+                pipe = self._pipes.get(hop_id)
+                if pipe is not None:
+                    pipe.feed(frame.body, is_last=frame.is_last)
+            case frames.Credit(request_id=hop_id, is_answer=True):
+                sink = self._sinks.get(hop_id)
+                if sink is not None:
+                    sink.window.grant(frame.size_bytes)
+            case frames.Credit(request_id=hop_id):
+                window = self._windows.get(hop_id)
+                if window is not None:
+                    window.grant(frame.size_bytes)
+            case _:
+                self._receive_answer(sender, frame)
+
+    def _receive_answer(self, sender: str, frame: frames.Frame) -> None:
+        match frame:
+            case frames.Answer(request_id=hop_id):
+                exchange = self._current(hop_id)
+                if exchange is None:
+                    return
+                if not frame.is_whole:
+                    exchange.on_answer_drained = self._credit_answer(
+                        hop_id,
+                        sender,
+                    )
+                exchange.start(frame)
+            case frames.AnswerChunk(request_id=hop_id):
+                exchange = self._current(hop_id)
+                if exchange is not None:
+                    exchange.chunk(frame.body, is_last=frame.is_last)
+            case frames.AnswerCut(request_id=hop_id):
+                exchange = self._current(hop_id)
+                if exchange is not None:
+                    exchange.cut()
+            case _:
+                return
+
+    def _current(self, hop_id: str) -> Exchange | None:
+        exchange = self._exchanges.get(request_of_hop(hop_id))
+        if exchange is None or exchange.hop_id != hop_id:
+            return None
+        return exchange
+
+    def _credit_sender(
+        self,
+        hop_id: str,
+        sender: str,
+    ) -> Callable[[int], None]:
+        return lambda size_bytes: self._send(
+            sender,
+            frames.Credit(hop_id, is_answer=False, size_bytes=size_bytes),
+        )
+
+    def _credit_answer(
+        self,
+        hop_id: str,
+        sender: str,
+    ) -> Callable[[int], None]:
+        return lambda size_bytes: self._send(
+            sender,
+            frames.Credit(hop_id, is_answer=True, size_bytes=size_bytes),
+        )
+
+    async def _pump(
+        self,
+        hop_id: str,
+        host_id: str,
+        body: BodyPipe,
+        window: CreditWindow,
+    ) -> None:
+        try:
+            while not window.is_closed:
+                chunk = await body.read()
+                await window.wait_open()
+                window.spend(len(chunk))
+                frame = frames.BodyChunk(hop_id, chunk, is_last=not chunk)
+                self._send(host_id, frame)
+                if not chunk:
+                    break
+        except PipeBrokenError:
+            return
+        finally:
+            self._pumps.pop(hop_id, None)
--- /dev/null
+++ b/foxtailreach/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole system in one process."""
--- /dev/null
+++ b/foxtailreach/demo/outcomes.py
@@ -0,0 +1,88 @@
+"""Checks the callers' records against the targets' records."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from foxtailreach.core.verdict import Verdict
+from foxtailreach.demo.load import Answer
+from foxtailreach.testing.target import Run
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """One promise or measure; `is_kept` is None for a plain measure."""
+
+    name: str
+    measured: str
+    stated: str
+    is_kept: bool | None = None
+
+
+def check_records(
+    answers: Sequence[Answer],
+    runs: Sequence[Run],
+) -> list[Outcome]:
+    """Check the promises that the two records can show."""
+    counts = Counter(run.test_id for run in runs)
+    doubled = [
+        answer
+        for answer in answers
+        if answer.method == 'POST' and counts[answer.test_id] > 1
+    ]
+    untrue = [
+        answer
+        for answer in answers
+        if answer.verdict == Verdict.NOT_RUN.value and counts[answer.test_id]
+    ]
+    crossed = [answer for answer in answers if not answer.is_own]
+    partial = [answer for answer in answers if not answer.is_whole]
+    leaked = [run for run in runs if run.saw_key]
+    customers = {answer.test_id: answer.customer for answer in answers}
+    foreign = [
+        run
+        for run in runs
+        if customers.get(run.test_id, run.customer) != run.customer
+    ]
+    silent = [answer for answer in answers if not answer.verdict]
+    return [
+        _none('non-idempotent requests run twice', doubled),
+        _none('"not run" that was run', untrue),
+        _none("answers that were not the caller's own", crossed),
+        _none('answers that were not whole', partial),
+        _none("targets that saw a caller's key", leaked),
+        _none('runs for another customer', foreign),
+        _none('requests without a verdict', silent),
+    ]
+
+
+def worst_window(times_s: Iterable[float], rate: float, burst: float) -> float:
+    """Return the largest excess of any window over rate x time + burst.
+
+    The excess of the window that ends with each event is tracked with the
+    level of a token bucket that is never refused.
+    """
+    worst = -burst
+    level = burst
+    last_s: float | None = None
+    for at_s in sorted(times_s):
+        if last_s is not None:
+            level = min(burst, level + (at_s - last_s) * rate)
+        level -= 1
+        worst = max(worst, -level)
+        last_s = at_s
+    return worst
+
+
+def quantile(values: Sequence[float], fraction: float) -> float:
+    """Return a quantile of unsorted values; 0 if there are none."""
+    if not values:
+        return 0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))]
+
+
+def _none(name: str, found: Sequence[object]) -> Outcome:
+    return Outcome(name, str(len(found)), '0', not found)
--- /dev/null
+++ b/foxtailreach/exceptions.py
@@ -0,0 +1,53 @@
+"""Exception tree of the package; every class carries a process exit code."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+
+class FoxtailreachError(Exception):
+    """Base class of every error that a user can act on."""
+
+    exit_code: ClassVar[int] = 1
+
+
+class SettingsError(FoxtailreachError):
+    """A settings file is missing, malformed or out of range."""
+
+    exit_code: ClassVar[int] = 2
+
+
+class ConfigurationError(FoxtailreachError):
+    """A change set is malformed or refers to objects that do not exist."""
+
+    exit_code: ClassVar[int] = 3
+
+
+class PublishConflictError(FoxtailreachError):
+    """Another change set was accepted first."""
+
+    exit_code: ClassVar[int] = 4
+
+
+class PlatformUnavailableError(FoxtailreachError):
+    """The platform's log service did not answer."""
+
+    exit_code: ClassVar[int] = 5
+
+
+class AddressInUseError(FoxtailreachError):
+    """A listening address is already taken."""
+
+    exit_code: ClassVar[int] = 6
+
+
+class ProtocolError(FoxtailreachError):
+    """A peer or a caller sent bytes that cannot be decoded."""
+
+    exit_code: ClassVar[int] = 7
+
+
+class BrokenPromiseError(FoxtailreachError):
+    """A demo or replay run observed a violated guarantee."""
+
+    exit_code: ClassVar[int] = 8
--- /dev/null
+++ b/foxtailreach/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Queries: they only read."""
--- /dev/null
+++ b/foxtailreach/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Wire protocol between hosts: thrift structs in length-prefixed frames."""
--- /dev/null
+++ b/foxtailreach/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside: the platform and the targets."""
--- /dev/null
+++ b/foxtailreach/testing/platform.py
@@ -0,0 +1,150 @@
+"""Stand-in for the platform: an append-only log and a host list."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, HTTPError, RequestHandler
+
+from foxtailreach.core.messages import HostEntry
+
+_MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """Faults of the stand-in, settable while it runs."""
+
+    is_away: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+    list_lag_ms: int = 0
+
+
+@dataclass(slots=True)
+class Stream:
+    """One append-only stream with retention."""
+
+    payloads: list[str] = field(default_factory=list)
+    first_offset: int = 0
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the record that will be appended next."""
+        return self.first_offset + len(self.payloads)
+
+    def append(self, payload: str) -> int:
+        """Append a record and return its offset."""
+        self.payloads.append(payload)
+        return self.next_offset - 1
+
+    def trim(self, first_offset: int) -> None:
+        """Forget the records before `first_offset`."""
+        dropped = max(0, first_offset - self.first_offset)
+        del self.payloads[:dropped]
+        self.first_offset += dropped
+
+    def page(self, offset: int, limit: int) -> dict[str, Any]:
+        """Return records from `offset` on, as JSON-ready data."""
+        start = max(offset, self.first_offset)
+        begin = start - self.first_offset
+        records = [
+            {'offset': start + index, 'payload': payload}
+            for index, payload in enumerate(
+                self.payloads[begin : begin + limit],
+            )
+        ]
+        return {
+            'first_offset': self.first_offset,
+            'next_offset': self.next_offset,
+            'records': records,
+        }
+
+
+class PlatformState:
+    """Streams, host list and faults."""
+
+    def __init__(self) -> None:
+        """Start with an empty log and no hosts."""
+        self.streams: dict[str, Stream] = {}
+        self.hosts: dict[str, HostEntry] = {}
+        self.faults = PlatformFaults()
+
+    def stream(self, name: str) -> Stream:
+        """Return a stream, which is created on first use."""
+        return self.streams.setdefault(name, Stream())
+
+
+class _Handler(RequestHandler):
+    """Base handler that applies the faults."""
+
+    def initialize(self, state: PlatformState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        if self.request.path == '/faults':
+            return
+        if self.state.faults.slow_ms:
+            await asyncio.sleep(self.state.faults.slow_ms / _MS_PER_S)
+        if self.state.faults.is_away:
+            raise HTTPError(503)
+
+    def set_default_headers(self) -> None:
+        self.set_header('Content-Type', 'application/json')
+
+
+class _StreamHandler(_Handler):
+    def get(self, name: str) -> None:
+        offset = int(self.get_query_argument('from', '0'))
+        limit = int(self.get_query_argument('limit', '100'))
+        self.write(self.state.stream(name).page(offset, limit))
+
+    def post(self, name: str) -> None:
+        payload = self.request.body.decode()
+        offset = self.state.stream(name).append(payload)
+        if self.state.faults.lose_answers:
+            self.state.faults.lose_answers -= 1
+            raise HTTPError(504)
+        self.write({'offset': offset})
+
+
+class _HostsHandler(_Handler):
+    def get(self) -> None:
+        hosts = [asdict(entry) for entry in self.state.hosts.values()]
+        self.write({'hosts': hosts})
+
+
+class _HostHandler(_Handler):
+    def put(self, host_id: str) -> None:
+        entry = HostEntry(**json.loads(self.request.body))
+        self.state.hosts[host_id] = entry
+        self.write({})
+
+    def delete(self, host_id: str) -> None:
+        self.state.hosts.pop(host_id, None)
+        self.write({})
+
+
+class _FaultsHandler(_Handler):
+    def put(self) -> None:
+        self.state.faults = PlatformFaults(**json.loads(self.request.body))
+        self.write({})
+
+
+def create_platform(state: PlatformState) -> HTTPServer:
+    """Create the stand-in's HTTP server over a state."""
+    own = {'state': state}
+    application = Application(
+        [
+            (r'/streams/([a-z0-9-]+)', _StreamHandler, own),
+            ('/hosts', _HostsHandler, own),
+            (r'/hosts/([a-z0-9._-]+)', _HostHandler, own),
+            ('/faults', _FaultsHandler, own),
+        ],
+        log_function=lambda handler: None,
+    )
+    return HTTPServer(application)
