Bound the time in queues over all pools that a request tries

Also here: targets of equal load take turns, because preferring the larger free share starved cold targets of the successes that warm them up, and starved suspects of the evidence that ejects them; slow answers count once for each doubling of the reference latency. Change: the handoff carries the queueing time that is left.

--- /dev/null
+++ b/foxtailreach/bench/clock.py
@@ -0,0 +1,37 @@
+"""A heap of actions in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+Action = Callable[[], None]
+
+
+class VirtualClock:
+    """Runs actions in the order of their due times."""
+
+    __slots__ = ('_heap', '_order', 'now_us')
+
+    def __init__(self) -> None:
+        """Start at zero with nothing to do."""
+        self.now_us = 0
+        self._heap: list[tuple[int, int, Action]] = []
+        self._order = itertools.count()
+
+    def at(self, when_us: float, action: Action) -> None:
+        """Schedule an action."""
+        entry = (int(when_us), next(self._order), action)
+        heapq.heappush(self._heap, entry)
+
+    def after(self, delay_us: float, action: Action) -> None:
+        """Schedule an action relative to now."""
+        self.at(self.now_us + delay_us, action)
+
+    def run_until(self, end_us: int) -> None:
+        """Process actions up to a moment."""
+        while self._heap and self._heap[0][0] <= end_us:
+            self.now_us, _, action = heapq.heappop(self._heap)
+            action()
+        self.now_us = end_us
--- /dev/null
+++ b/foxtailreach/bench/routing.py
@@ -0,0 +1,181 @@
+"""Compares ways to choose a target at the brief's sizes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from foxtailreach.bench.baselines import IndependentChoice, SlotLeases
+from foxtailreach.bench.deployments import (
+    HOSTS,
+    key_of,
+    load_deployment,
+    offer_load,
+    start_fleet,
+)
+from foxtailreach.bench.fleet import SERVICE_US, ModelTarget
+from foxtailreach.bench.statistics import quantile
+from foxtailreach.config.objects import Limit, Objects
+from foxtailreach.core.units import SECOND_US
+
+LOADS = (0.6, 0.8, 0.9, 1.1)
+DURATION_US = 15 * SECOND_US
+UNLIMITED = Limit(1_000_000, 1_000_000)
+_US_PER_MS = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class RoutingRow:
+    """Measures of one way at one load."""
+
+    way: str
+    service: str
+    load: float
+    p50_ms: float
+    p99_ms: float
+    refused_percent: float
+    sheds_per_request: float
+    messages_per_request: float
+    connections: int
+
+
+def compare_routing(
+    deployment: str,
+    seed: int,
+    duration_us: int = DURATION_US,
+) -> Iterator[RoutingRow]:
+    """Measure each way for the two larger services at each load."""
+    objects = without_limits(load_deployment(deployment))
+    for service in list(objects.services)[:2]:
+        for load in LOADS:
+            yield _measure_core(objects, service, load, seed, duration_us)
+            for way in (IndependentChoice, SlotLeases):
+                yield _measure_baseline(
+                    way,
+                    objects,
+                    service,
+                    load,
+                    seed,
+                    duration_us,
+                )
+
+
+def without_limits(objects: Objects) -> Objects:
+    """Return a configuration in which no customer is ever refused."""
+    limits = dict.fromkeys(objects.limits, UNLIMITED)
+    return replace(objects, limits=limits)
+
+
+def capacity_per_s(objects: Objects, service: str) -> float:
+    """Return the requests per second that a service can complete."""
+    slots = sum(
+        target.slots
+        for target in objects.targets.values()
+        if target.service == service
+    )
+    return slots * SECOND_US / SERVICE_US
+
+
+def _measure_core(
+    objects: Objects,
+    service: str,
+    load: float,
+    seed: int,
+    duration_us: int,
+) -> RoutingRow:
+    fleet = start_fleet(objects, seed)
+    route = objects.routes[service]
+    rate = load * capacity_per_s(objects, service)
+    warm_us = fleet.now_us + 3 * SECOND_US
+    end_us = warm_us + duration_us
+    customers = list(objects.customers)
+    for customer in customers:
+        offer_load(
+            fleet,
+            f'{route.path_prefix}/item',
+            key_of(customer),
+            rate / len(customers),
+            end_us,
+        )
+    fleet.run_until(warm_us)
+    fleet.answers.clear()
+    fleet.counters.sheds = 0
+    fleet.counters.connections.clear()
+    before = _request_messages(fleet.counters.peer_kinds)
+    fleet.run_until(end_us + 2 * SECOND_US)
+    after = _request_messages(fleet.counters.peer_kinds)
+    served = [one.latency_us for one in fleet.answers if not one.refusal]
+    return _row(
+        'owner (this core)',
+        service,
+        load,
+        served,
+        len(fleet.answers) - len(served),
+        fleet.counters.sheds,
+        after - before,
+        len(fleet.counters.connections),
+    )
+
+
+def _request_messages(kinds: dict[str, int]) -> int:
+    return sum(
+        kinds.get(kind, 0) for kind in ('Handoff', 'Forwarded', 'HandoffResult')
+    )
+
+
+def _measure_baseline(
+    way: type[IndependentChoice | SlotLeases],
+    objects: Objects,
+    service: str,
+    load: float,
+    seed: int,
+    duration_us: int,
+) -> RoutingRow:
+    domains = sorted(objects.domains)
+    hosts = {
+        f'host-{index:04}': domains[index % len(domains)]
+        for index in range(HOSTS)
+    }
+    targets = [
+        ModelTarget(name, target.domain, target.slots)
+        for name, target in objects.targets.items()
+        if target.service == service
+    ]
+    model = way(targets, hosts, seed)
+    rate = load * capacity_per_s(objects, service)
+    model.offer(rate, duration_us)
+    model.run_until(duration_us + 2 * SECOND_US)
+    return _row(
+        way.__name__,
+        service,
+        load,
+        model.tally.latencies_us,
+        model.tally.refused,
+        model.tally.sheds,
+        model.tally.messages,
+        len(model.tally.connections),
+    )
+
+
+def _row(
+    way: str,
+    service: str,
+    load: float,
+    latencies_us: list[int],
+    refused: int,
+    sheds: int,
+    messages: int,
+    connections: int,
+) -> RoutingRow:
+    total = len(latencies_us) + refused
+    return RoutingRow(
+        way=way,
+        service=service,
+        load=load,
+        p50_ms=quantile(latencies_us, 0.5) / _US_PER_MS,
+        p99_ms=quantile(latencies_us, 0.99) / _US_PER_MS,
+        refused_percent=100 * refused / max(1, total),
+        sheds_per_request=sheds / max(1, total),
+        messages_per_request=messages / max(1, total),
+        connections=connections,
+    )
--- a/foxtailreach/core/entry.py
+++ b/foxtailreach/core/entry.py
@@ -43,6 +43,7 @@
     route: Route
     started_us: int
     deadline_us: int
+    queue_until_us: int
     tried: set[str] = field(default_factory=set)
     hops: int = 0
     pool_id: str = ''
@@ -274,6 +275,7 @@
         if request.timeout_us is not None:
             timeout_us = min(timeout_us, request.timeout_us)
         entry = self._catalog.customer(customer)
+        service = self._catalog.objects.services[route.service]
         return Pending(
             head=request.head,
             fingerprint=request.fingerprint,
@@ -282,6 +284,7 @@
             route=route,
             started_us=now_us,
             deadline_us=now_us + timeout_us,
+            queue_until_us=now_us + service.max_queue_ms * MILLISECOND_US,
         )
 
     def _hand_off(self, pending: Pending, now_us: int) -> Effects:
@@ -304,6 +307,7 @@
             idempotent=pending.idempotent,
             fingerprint=pending.fingerprint,
             deadline_left_us=max(0, pending.deadline_us - now_us),
+            queue_left_us=max(0, pending.queue_until_us - now_us),
             origin=self._host_id,
             forwards_left=0 if pending.head.is_streamed else MAX_FORWARDS,
             retries_left=OWNER_RETRIES,
@@ -360,6 +364,8 @@
             return False
         if now_us >= pending.deadline_us:
             return False
+        if reason is Reason.OVERLOAD and now_us >= pending.queue_until_us:
+            return False
         if self._crashes.is_quarantined(pending.fingerprint):
             return False
         if not may_resend(verdict, idempotent=pending.idempotent):
--- a/foxtailreach/core/messages.py
+++ b/foxtailreach/core/messages.py
@@ -61,7 +61,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Handoff:
-    """Asks a pool's owner to run a request that was already admitted."""
+    """Asks a pool's owner to run a request that was already admitted.
+
+    `queue_left_us` bounds the time in queues, over all pools that are tried.
+    """
 
     head: RequestHead
     pool_id: str
@@ -71,6 +74,7 @@
     idempotent: bool
     fingerprint: int
     deadline_left_us: int
+    queue_left_us: int
     origin: str
     forwards_left: int
     retries_left: int
--- a/foxtailreach/core/ownership.py
+++ b/foxtailreach/core/ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import random
 
@@ -218,18 +219,11 @@
     pool_id: str,
     handoff: messages.Handoff,
 ) -> Effects:
-    onward = messages.Handoff(
-        head=handoff.head,
+    onward = dataclasses.replace(
+        handoff,
         pool_id=pool_id,
-        customer=handoff.customer,
-        weight=handoff.weight,
-        duration=handoff.duration,
-        idempotent=handoff.idempotent,
-        fingerprint=handoff.fingerprint,
-        deadline_left_us=handoff.deadline_left_us,
-        origin=handoff.origin,
         forwards_left=handoff.forwards_left - 1,
-        retries_left=handoff.retries_left,
+        loads=(),
     )
     notice = messages.Forwarded(handoff.head.request_id, host_id)
     return [
--- a/foxtailreach/core/pool/health.py
+++ b/foxtailreach/core/pool/health.py
@@ -23,7 +23,8 @@
 PEERS_SICK_SCORE: Final = 9.0
 MAX_SCORE: Final = 40.0
 HARD_FAILURES: Final = 2
-SLOW_STEP: Final = 4
+SLOW_STEP: Final = 2
+SLOW_LEVEL_GAIN: Final = 0.8
 
 SLOW_PROBABILITY_HEALTHY: Final = 0.1
 SLOW_PROBABILITY_GRAY: Final = 0.5
@@ -44,7 +45,10 @@
 
     def record(self, *, failed: bool) -> None:
         """Add one trial."""
-        gain = self._failure_gain if failed else self._success_gain
+        self.add(self._failure_gain if failed else self._success_gain)
+
+    def add(self, gain: float) -> None:
+        """Add a log-likelihood ratio."""
         self.score = min(MAX_SCORE, max(0, self.score + gain))
 
 
@@ -83,6 +87,13 @@
             self.samples[duration_class] = samples
         samples.append(latency_us)
 
+    def record_slow_level(self, level: int) -> None:
+        """Count a latency that reached a level; each level only once."""
+        if level == 1:
+            self.slow.record(failed=True)
+        else:
+            self.slow.add(SLOW_LEVEL_GAIN)
+
     def quantile_us(self, duration_class: str) -> int | None:
         """Return the reference quantile of this target's own samples."""
         samples = self.samples.get(duration_class, ())
@@ -145,7 +156,8 @@
 def slow_level(latency_us: int, reference_us: int) -> int:
     """Return how often a latency exceeds the reference by a further factor.
 
-    Level 1 is above the reference, level 2 above four times, and so on.
+    Level 1 is above the reference, level 2 above twice, level 3 above four
+    times the reference, and so on.
     """
     if latency_us <= reference_us:
         return 0
--- a/foxtailreach/core/pool/owner.py
+++ b/foxtailreach/core/pool/owner.py
@@ -28,7 +28,7 @@
 SERVER_ERROR = 500
 LONG_SHARE = 0.5
 HANG_US = 1200 * MILLISECOND_US
-HANG_LEVEL = 3
+HANG_LEVEL = 5
 TRIAL_SCORE = 2.5
 MAX_SKIPPED_JOBS = 8
 
@@ -329,12 +329,11 @@
 
     def _create_job(self, handoff: messages.Handoff, now_us: int) -> Job:
         deadline_us = now_us + handoff.deadline_left_us
-        max_queue_us = self.service.max_queue_ms * MILLISECOND_US
         return Job(
             handoff=handoff,
             enqueued_us=now_us,
             deadline_us=deadline_us,
-            expires_us=min(deadline_us, now_us + max_queue_us),
+            expires_us=min(deadline_us, now_us + handoff.queue_left_us),
             retries_left=handoff.retries_left,
         )
 
@@ -376,7 +375,6 @@
         ]
         if not candidates:
             return None
-        self._rng.shuffle(candidates)
         chosen = min(candidates, key=_preference)
         chosen.cool_if_idle(self.service, now_us)
         return chosen
@@ -592,7 +590,7 @@
     def _count_slow(self, attempt: Attempt, level: int) -> None:
         while attempt.slow_level < level:
             attempt.slow_level += 1
-            attempt.state.health.slow.record(failed=True)
+            attempt.state.health.record_slow_level(attempt.slow_level)
 
     def _is_hung(self, state: TargetState, now_us: int) -> bool:
         waiting = [
@@ -631,7 +629,16 @@
         return ejection.should_eject(state, self.targets, now_us)
 
 
-def _preference(state: TargetState) -> tuple[bool, bool, float]:
+def _preference(state: TargetState) -> tuple[bool, bool, int, int]:
+    """Order targets: trusted first, then the least loaded, then the idlest.
+
+    Equally loaded targets take turns, so that a cold or slow target keeps
+    getting the requests by which it is ramped up or found out.
+    """
     is_regular = state.status is TargetStatus.HEALTHY
-    load = (state.in_flight + 1) / max(1, state.allowed)
-    return state.is_suspect, not is_regular, load
+    return (
+        state.is_suspect,
+        not is_regular,
+        state.in_flight,
+        state.last_used_us,
+    )
--- a/foxtailreach/core/pool/targets.py
+++ b/foxtailreach/core/pool/targets.py
@@ -19,7 +19,6 @@
 TRIAL_SUCCESSES = 3
 PROBATION_US = 10 * SECOND_US
 CONNECT_PAUSE_US = 200 * MILLISECOND_US
-SUSPECT_SCORE = EJECT_SCORE / 2
 
 
 class TargetStatus(enum.StrEnum):
@@ -96,8 +95,8 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether the target is used only when no better one is free."""
-        return self.is_unreachable or self.health.score >= SUSPECT_SCORE
+        """Whether only the floor keeps the target in service."""
+        return self.is_unreachable or self.health.score >= EJECT_SCORE
 
     @property
     def free(self) -> int:
--- a/foxtailreach/demo/outcomes.py
+++ b/foxtailreach/demo/outcomes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from foxtailreach.core.verdict import Verdict
@@ -58,31 +58,5 @@
     ]
 
 
-def worst_window(times_s: Iterable[float], rate: float, burst: float) -> float:
-    """Return the largest excess of any window over rate x time + burst.
-
-    The excess of the window that ends with each event is tracked with the
-    level of a token bucket that is never refused.
-    """
-    worst = -burst
-    level = burst
-    last_s: float | None = None
-    for at_s in sorted(times_s):
-        if last_s is not None:
-            level = min(burst, level + (at_s - last_s) * rate)
-        level -= 1
-        worst = max(worst, -level)
-        last_s = at_s
-    return worst
-
-
-def quantile(values: Sequence[float], fraction: float) -> float:
-    """Return a quantile of unsorted values; 0 if there are none."""
-    if not values:
-        return 0
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))]
-
-
 def _none(name: str, found: Sequence[object]) -> Outcome:
     return Outcome(name, str(len(found)), '0', not found)
--- a/foxtailreach/demo/run.py
+++ b/foxtailreach/demo/run.py
@@ -12,15 +12,11 @@
 import typer
 from loguru import logger
 
+from foxtailreach.bench.statistics import quantile, worst_excess
 from foxtailreach.commands.edits import set_domain_edit, withdraw_key_edit
 from foxtailreach.config.objects import Limit
 from foxtailreach.demo.load import OK, Answer, Caller, Load
-from foxtailreach.demo.outcomes import (
-    Outcome,
-    check_records,
-    quantile,
-    worst_window,
-)
+from foxtailreach.demo.outcomes import Outcome, check_records
 from foxtailreach.demo.world import World
 from foxtailreach.exceptions import BrokenPromiseError
 from foxtailreach.testing.target import Run
@@ -277,7 +273,7 @@
         greedy = self._customers[-1]
         limit = self._limit(greedy)
         times = [run.at_s for run in runs if run.customer == greedy]
-        excess = worst_window(times, limit.rate_per_s, limit.burst_requests)
+        excess = worst_excess(times, limit.rate_per_s, limit.burst_requests)
         return Outcome(
             f'runs above the limit of {greedy}',
             f'{max(0, excess):.0f} of {len(times)}',
--- a/foxtailreach/rpc/peer.thrift
+++ b/foxtailreach/rpc/peer.thrift
@@ -21,7 +21,7 @@
   1: RequestHead head, 2: string pool_id, 3: string customer, 4: i32 weight,
   5: string duration, 6: bool idempotent, 7: i64 fingerprint,
   8: i64 deadline_left_us, 9: string origin, 10: i32 forwards_left,
-  11: i32 retries_left, 12: list<PoolLoad> loads
+  11: i32 retries_left, 12: list<PoolLoad> loads, 13: i64 queue_left_us
 }
 
 struct Forwarded { 1: string request_id, 2: string host_id }
