--- a/foxtailreach/bench/baselines.py
+++ b/foxtailreach/bench/baselines.py
@@ -174,7 +174,7 @@
                 LeaseOwner(target.domain, []),
             )
             owner.targets.append(target)
-            owner.free.extend([target] * target.slots)
+            owner.free.extend(target for _ in range(target.slots))
         self._views: dict[tuple[str, str], float] = {}
 
     def start(self, host: str) -> None:
--- a/foxtailreach/config/defaults.py
+++ b/foxtailreach/config/defaults.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal, Self
+from typing import Annotated, Literal
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
@@ -82,14 +82,14 @@
     seeds: tuple[SeedSection, ...] = ()
 
     @classmethod
-    def from_toml(cls, path: Path) -> Self:
+    def from_toml(cls, path: Path) -> HostSettings:
         """Read and validate a settings file.
 
         Raises SettingsError that names every faulty key.
         """
         table = read_toml(path)
         try:
-            return _SETTINGS.validate_python(table)  # type: ignore[return-value]
+            return _SETTINGS.validate_python(table)
         except ValidationError as error:
             faults = Fault.from_validation(error)
             raise SettingsError(f'{path}: {describe_faults(faults)}') from error
--- a/foxtailreach/core/fold.py
+++ b/foxtailreach/core/fold.py
@@ -167,7 +167,8 @@
 
     def _apply_claim(self, host_id: str, seat: str, epoch: int) -> None:
         current = self.holders.get(seat)
-        if epoch == (current.epoch if current else 0) + 1:
+        held_epoch = 0 if current is None else current.epoch
+        if epoch == held_epoch + 1:
             self.holders[seat] = SeatHolder(seat, epoch, host_id)
 
     def _apply_release(self, host_id: str, seat: str, epoch: int) -> None:
--- /dev/null
+++ b/foxtailreach/core/pool/attempts.py
@@ -0,0 +1,52 @@
+"""One request on one target, and what its end means."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from foxtailreach.core.events import AttemptOutcome
+from foxtailreach.core.pool.queue import Job
+from foxtailreach.core.pool.targets import TargetState
+from foxtailreach.core.verdict import Reason, Verdict
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A request that was sent, or is being sent, to a target."""
+
+    attempt_id: int
+    job: Job
+    state: TargetState
+    started_us: int
+    is_failed: bool = False
+    is_shed: bool = False
+    is_retryable: bool = False
+    is_relayed: bool = False
+    is_cancelled: bool = False
+    slow_level: int = 0
+
+    @property
+    def duration(self) -> str:
+        """Duration class of the request's route."""
+        return self.job.handoff.duration
+
+    @property
+    def is_comparable(self) -> bool:
+        """Whether its latency depends on the target alone."""
+        return not self.job.handoff.head.is_streamed
+
+    def verdict(self, *, was_sent: bool) -> Verdict:
+        """Tell whether the target may have run the request."""
+        if self.is_shed or not was_sent:
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
+
+    def reason(self, outcome: AttemptOutcome) -> Reason:
+        """Return why the attempt brought no complete answer."""
+        if self.is_shed:
+            return Reason.OVERLOAD
+        if self.is_cancelled:
+            return Reason.CANCELLED
+        if outcome is AttemptOutcome.TIMEOUT:
+            return Reason.DEADLINE
+        return Reason.TARGET_FAILED
--- /dev/null
+++ b/foxtailreach/core/pool/monitor.py
@@ -0,0 +1,202 @@
+"""Watches a pool's targets: compares, ejects and returns them."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+
+from foxtailreach.config.objects import Service
+from foxtailreach.core import effects
+from foxtailreach.core.events import AttemptOutcome
+from foxtailreach.core.pool import ejection
+from foxtailreach.core.pool.attempts import Attempt
+from foxtailreach.core.pool.health import PeerComparison, slow_level
+from foxtailreach.core.pool.targets import TargetState, TargetStatus
+from foxtailreach.core.units import MILLISECOND_US
+
+REFRESH_INTERVAL_US = 100 * MILLISECOND_US
+SERVICE_TIME_GAIN = 0.05
+DEFAULT_SERVICE_US = 20 * MILLISECOND_US
+HANG_US = 1200 * MILLISECOND_US
+HANG_LEVEL = 5
+TRIAL_SCORE = 2.5
+
+Effects = list[effects.Effect]
+
+
+class PoolMonitor:
+    """Turns outcomes of attempts into suspicion, ejection and return."""
+
+    __slots__ = (
+        '_comparison',
+        '_next_refresh_us',
+        '_targets',
+        'service',
+        'service_us',
+    )
+
+    def __init__(
+        self,
+        service: Service,
+        targets: Mapping[str, TargetState],
+        now_us: int,
+    ) -> None:
+        """Watch `targets`, a live view of the owner's targets."""
+        self.service = service
+        self.service_us = float(DEFAULT_SERVICE_US)
+        self._targets = targets
+        self._comparison = PeerComparison()
+        self._next_refresh_us = now_us
+
+    def record_answer(self, attempt: Attempt, now_us: int) -> None:
+        """Account for the head of an answer."""
+        state = attempt.state
+        state.health.hard_failures = 0
+        if attempt.is_shed:
+            state.ramp.record_overload(now_us)
+            return
+        state.health.errors.record(failed=attempt.is_failed)
+        if not attempt.is_failed and attempt.is_comparable:
+            self._record_latency(attempt, now_us)
+
+    def record_failure(
+        self,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        now_us: int,
+    ) -> None:
+        """Account for an attempt that ended without a whole answer."""
+        match outcome:
+            case AttemptOutcome.CONNECT_FAILED:
+                attempt.state.record_connect_failure(now_us)
+            case AttemptOutcome.PARTIAL | AttemptOutcome.TIMEOUT:
+                attempt.state.health.errors.record(failed=True)
+            case _:
+                return
+
+    def tick(self, attempts: Collection[Attempt], now_us: int) -> Effects:
+        """Refresh the comparison, eject and begin trials."""
+        if now_us < self._next_refresh_us:
+            return []
+        self._next_refresh_us = now_us + REFRESH_INTERVAL_US
+        self._comparison.refresh(
+            {
+                name: state.health
+                for name, state in self._targets.items()
+                if state.status is TargetStatus.HEALTHY
+            }
+        )
+        for attempt in attempts:
+            self._count_overdue(attempt, now_us)
+        step = self._restore_to_floor(now_us)
+        for state in self._targets.values():
+            step.extend(self.eject_if_due(state, attempts, now_us))
+            is_due = now_us >= state.retry_at_us
+            if state.status is TargetStatus.EJECTED and is_due:
+                state.begin_trial()
+        return step
+
+    def eject_if_due(
+        self,
+        state: TargetState,
+        attempts: Collection[Attempt],
+        now_us: int,
+    ) -> Effects:
+        """Eject a target if it must go and the floor allows it."""
+        if state.status is TargetStatus.EJECTED or state.is_draining:
+            return []
+        cause = self._cause(state, attempts, now_us)
+        if not cause:
+            return []
+        is_trial = state.status is TargetStatus.TRIAL
+        if not is_trial and not ejection.may_eject(self._targets, self.service):
+            return []
+        state.eject(now_us)
+        return [effects.Note('target-ejected', state.name, cause)]
+
+    def _restore_to_floor(self, now_us: int) -> Effects:
+        """Return the least bad targets after others left the pool."""
+        floor = ejection.floor_targets(self._targets, self.service)
+        missing = floor - ejection.healthy_targets(self._targets)
+        if missing <= 0:
+            return []
+        ejected = sorted(
+            (
+                state
+                for state in self._targets.values()
+                if state.status is not TargetStatus.HEALTHY
+                and not state.is_draining
+            ),
+            key=lambda state: state.health.score,
+        )
+        step: Effects = []
+        for state in ejected[:missing]:
+            state.restore(self.service, now_us)
+            step.append(effects.Note('target-restored', state.name, 'floor'))
+        return step
+
+    def _cause(
+        self,
+        state: TargetState,
+        attempts: Collection[Attempt],
+        now_us: int,
+    ) -> str:
+        if state.status is TargetStatus.TRIAL:
+            health = state.health
+            is_bad = health.hard_failures or health.score > TRIAL_SCORE
+            return 'failed trial' if is_bad else ''
+        if self._is_hung(state, attempts, now_us):
+            return 'no answers'
+        return ejection.should_eject(state, self._targets, now_us)
+
+    def _record_latency(self, attempt: Attempt, now_us: int) -> None:
+        state = attempt.state
+        latency_us = now_us - attempt.started_us
+        level = self._slow_level(attempt, now_us)
+        if level:
+            _count_slow(attempt, level)
+        else:
+            state.health.slow.record(failed=False)
+        state.health.add_sample(attempt.duration, latency_us)
+        self.service_us += SERVICE_TIME_GAIN * (latency_us - self.service_us)
+        if state.status is TargetStatus.TRIAL and not level:
+            state.record_trial_success(self.service, now_us)
+        state.ramp.record_success(now_us)
+
+    def _slow_level(self, attempt: Attempt, now_us: int) -> int:
+        reference_us = self._comparison.reference_us(
+            attempt.state.name,
+            attempt.duration,
+        )
+        if reference_us is None:
+            return 0
+        return slow_level(now_us - attempt.started_us, reference_us)
+
+    def _count_overdue(self, attempt: Attempt, now_us: int) -> None:
+        if attempt.is_relayed or not attempt.is_comparable:
+            return
+        _count_slow(attempt, self._slow_level(attempt, now_us))
+
+    def _is_hung(
+        self,
+        state: TargetState,
+        attempts: Collection[Attempt],
+        now_us: int,
+    ) -> bool:
+        waiting = [
+            attempt
+            for attempt in attempts
+            if attempt.state is state and not attempt.is_relayed
+        ]
+        if len(waiting) < max(1, state.allowed):
+            return False
+        return all(
+            now_us - attempt.started_us >= HANG_US
+            and self._slow_level(attempt, now_us) >= HANG_LEVEL
+            for attempt in waiting
+        )
+
+
+def _count_slow(attempt: Attempt, level: int) -> None:
+    while attempt.slow_level < level:
+        attempt.slow_level += 1
+        attempt.state.health.record_slow_level(attempt.slow_level)
--- a/foxtailreach/core/pool/targets.py
+++ b/foxtailreach/core/pool/targets.py
@@ -136,10 +136,14 @@
         """Return to service through the ramp after enough successes."""
         self.trial_successes += 1
         if self.trial_successes >= TRIAL_SUCCESSES:
-            self.status = TargetStatus.HEALTHY
-            self.returned_us = now_us
-            self.health.clear_scores()
-            self.ramp.reset(service.cold_slots, now_us)
+            self.restore(service, now_us)
+
+    def restore(self, service: Service, now_us: int) -> None:
+        """Return to regular service, cold."""
+        self.status = TargetStatus.HEALTHY
+        self.returned_us = now_us
+        self.health.clear_scores()
+        self.ramp.reset(service.cold_slots, now_us)
 
     def cool_if_idle(self, service: Service, now_us: int) -> None:
         """Treat a target as cold after a long time without requests."""
--- a/foxtailreach/daemon/edge.py
+++ b/foxtailreach/daemon/edge.py
@@ -7,6 +7,7 @@
 import json
 import math
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Protocol
 
 import xxhash
@@ -22,7 +23,7 @@
 from foxtailreach.core.messages import Header, RequestHead
 from foxtailreach.core.verdict import Refusal, Verdict
 from foxtailreach.daemon import headers as fields
-from foxtailreach.daemon.pipes import BodyPipe
+from foxtailreach.daemon.pipes import BodyPipe, PipeBrokenError
 from foxtailreach.rpc.frames import Answer
 
 INLINE_BODY_BYTES = 65536
@@ -125,14 +126,14 @@
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
-    ) -> Awaitable[None] | None:
+    ) -> None:
         """Check the head; start at once if the body will be streamed."""
         assert isinstance(start_line, httputil.RequestStartLine)
         self._method = start_line.method
         fault = self._fault(start_line, headers)
         if fault is not None:
             self._refuse_plainly(*fault)
-            return None
+            return
         self._key = fields.caller_key(headers) or ''
         self._idempotency_key = headers.get('Idempotency-Key', '')
         self._timeout_us = _timeout_us(headers)
@@ -144,7 +145,6 @@
             self.body = BodyPipe()
             self.body.on_drained = self._body_drained
             self._admit(self._head)
-        return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Take a part of the request's body."""
@@ -344,9 +344,9 @@
         )
         if retry_after_s:
             headers['Retry-After'] = str(retry_after_s)
-        if status == 401:
+        if status == HTTPStatus.UNAUTHORIZED:
             headers['WWW-Authenticate'] = 'Bearer'
-        phrase = httputil.responses.get(status, 'Refused')
+        phrase = HTTPStatus(status).phrase
         line = httputil.ResponseStartLine('HTTP/1.1', status, phrase)
         if self._method != 'HEAD':
             self.answer.feed(body)
@@ -359,21 +359,25 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         try:
-            chunk = self.answer.take(INLINE_BODY_BYTES)
-            await self._connection.write_headers(line, headers, chunk or None)
-            while not self.answer.is_finished:
-                chunk = await self.answer.read()
-                if chunk:
-                    await self._connection.write(chunk)
-            self._connection.finish()
-        except (StreamClosedError, httputil.HTTPOutputError):
-            self._abandon()
-        except Exception:
+            await self._write_all(line, headers)
+        except (StreamClosedError, httputil.HTTPOutputError, PipeBrokenError):
             self._abandon()
-            raise
         finally:
             self._end()
 
+    async def _write_all(
+        self,
+        line: httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        chunk = self.answer.take(INLINE_BODY_BYTES)
+        await self._connection.write_headers(line, headers, chunk or None)
+        while not self.answer.is_finished:
+            chunk = await self.answer.read()
+            if chunk:
+                await self._connection.write(chunk)
+        self._connection.finish()
+
     def _abandon(self) -> None:
         self._close()
         if not self.is_over:
--- a/foxtailreach/daemon/host.py
+++ b/foxtailreach/daemon/host.py
@@ -9,6 +9,7 @@
 import random
 import signal
 from collections import deque
+from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 
 from loguru import logger
@@ -201,8 +202,8 @@
             peer_port=section.peer_port,
         )
 
-    def _spawn(self, coroutine: object) -> None:
-        task = asyncio.ensure_future(coroutine)  # type: ignore[arg-type]
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._task_done)
 
@@ -246,23 +247,24 @@
         interval_s = self.settings.platform.poll_interval_ms / _MS_PER_S
         is_away = False
         while True:
-            try:
-                event = await self.platform.read(self.node.fold.next_offset)
-            except PlatformUnavailableError as error:
-                if not is_away:
-                    logger.warning('waiting for the platform: {}', error)
-                is_away = True
-                self.post(events.LogFailed())
-            else:
-                if is_away:
-                    logger.info('the platform answers again')
-                is_away = False
-                self.post(event)
-                if event.records:
-                    continue
+            event = await self._read_page()
+            if isinstance(event, events.LogFailed) != is_away:
+                is_away = not is_away
+                state = 'does not answer; waiting' if is_away else 'answers'
+                logger.warning('the platform {}', state)
+            self.post(event)
+            if isinstance(event, events.LogRead) and event.records:
+                continue
             factor = 1 if self.node.is_log_reader() else FOLLOWER_POLL_FACTOR
             await asyncio.sleep(interval_s * factor)
 
+    async def _read_page(self) -> events.LogRead | events.LogFailed:
+        try:
+            return await self.platform.read(self.node.fold.next_offset)
+        except PlatformUnavailableError as error:
+            logger.debug('reading the log failed: {}', error)
+            return events.LogFailed()
+
     async def _read_hosts(self) -> None:
         interval_s = self.settings.platform.poll_interval_ms / _MS_PER_S
         while True:
@@ -274,15 +276,19 @@
         while True:
             payload = await self._appends.get()
             for _ in range(APPEND_TRIES):
-                try:
-                    await self.platform.append(payload)
-                except PlatformUnavailableError as error:
-                    logger.warning('append failed: {}', error)
-                    await asyncio.sleep(APPEND_INTERVAL_S)
-                else:
+                if await self._try_append(payload):
                     break
+                await asyncio.sleep(APPEND_INTERVAL_S)
             await asyncio.sleep(APPEND_INTERVAL_S)
 
+    async def _try_append(self, payload: bytes) -> bool:
+        try:
+            await self.platform.append(payload)
+        except PlatformUnavailableError as error:
+            logger.warning('append failed: {}', error)
+            return False
+        return True
+
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.SendPeer(host_id=host_id, message=message):
--- a/foxtailreach/daemon/links.py
+++ b/foxtailreach/daemon/links.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -86,8 +86,8 @@
         for task in self._tasks:
             task.cancel()
 
-    def _spawn(self, coroutine: object) -> None:
-        task = asyncio.ensure_future(coroutine)  # type: ignore[arg-type]
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/foxtailreach/demo/run.py
+++ b/foxtailreach/demo/run.py
@@ -51,7 +51,7 @@
         typer.echo(render_table(outcomes))
     broken = [outcome.name for outcome in outcomes if outcome.is_kept is False]
     if broken:
-        raise BrokenPromiseError('broken: ' + '; '.join(broken))
+        raise BrokenPromiseError('; '.join(broken))
 
 
 async def _run(deployment: str) -> list[Outcome]:
@@ -177,16 +177,7 @@
         started_s = time.monotonic()
         await self._world.publish(set_domain_edit(domain, 'out'))
         await asyncio.sleep(PHASE_LIMIT_S)
-        last_s = max(
-            (
-                run.at_s
-                for name, server in self._world.targets.items()
-                for run in server.state.runs
-                if self._world.objects.targets[name].domain == domain
-                if run.at_s > started_s
-            ),
-            default=started_s,
-        )
+        last_s = max(started_s, self._last_run_in(domain))
         self._outcomes.append(
             _within(
                 'no new work in a domain taken out',
@@ -197,6 +188,17 @@
         await self._world.publish(set_domain_edit(domain, 'active'))
         await asyncio.sleep(RETURN_S)
 
+    def _last_run_in(self, domain: str) -> float:
+        targets = self._world.objects.targets
+        return max(
+            (
+                server.state.runs[-1].at_s
+                for name, server in self._world.targets.items()
+                if targets[name].domain == domain and server.state.runs
+            ),
+            default=0,
+        )
+
     async def _withdraw_key(self) -> None:
         customer = self._customers[0]
         started_s = time.monotonic()
@@ -228,11 +230,11 @@
             for answer in self._load.answers
             if started_s <= answer.started_s
         ]
+        withdrawn = self._customers[0]
         refused = [
             answer
             for answer in during
-            if answer.status in {401, 503}
-            if answer.customer != self._customers[0]
+            if answer.status in {401, 503} and answer.customer != withdrawn
         ]
         self._outcomes.append(
             Outcome(
@@ -263,9 +265,9 @@
         ]
         self._outcomes.extend(check_records(answers, runs))
         self._outcomes.append(self._check_limit(runs))
-        false = self._ejected - self._sick
+        wrong = self._ejected - self._sick
         self._outcomes.append(
-            Outcome('false ejections', str(len(false)), '0', not false),
+            Outcome('false ejections', str(len(wrong)), '0', not wrong),
         )
         self._outcomes.extend(self._measures(answers))
 
--- a/foxtailreach/demo/world.py
+++ b/foxtailreach/demo/world.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from dataclasses import dataclass, replace
+from ipaddress import IPv4Address
 from pathlib import Path
 
 from foxtailreach.commands.publish import Edit, publish
@@ -97,13 +98,13 @@
             host=HostSection(
                 host_id=host_id,
                 domain=domain,
-                address=LOOPBACK,
+                address=IPv4Address(LOOPBACK),
                 caller_port=caller_port,
                 peer_port=peer_port,
                 admin_port=admin_port,
             ),
             platform=PlatformSection(
-                address=LOOPBACK,
+                address=IPv4Address(LOOPBACK),
                 port=self.platform_port,
                 timeout_ms=PLATFORM_TIMEOUT_MS,
                 poll_interval_ms=PLATFORM_POLL_MS,
--- a/foxtailreach/rpc/codec.py
+++ b/foxtailreach/rpc/codec.py
@@ -33,9 +33,10 @@
 
 def encode_frame(frame: frames.Frame) -> bytes:
     """Serialize a frame with its length prefix."""
-    name = _field_name(type(frame))
-    envelope = peer.Envelope(**{name: _to_thrift(type(frame))(frame)})
-    payload = serialize(envelope, _FACTORY)
+    frame_type: Any = type(frame)
+    name = _FIELD_NAMES[frame_type]
+    envelope = peer.Envelope(**{name: _to_thrift(frame_type)(frame)})
+    payload: bytes = serialize(envelope, _FACTORY)
     return _LENGTH.pack(len(payload)) + payload
 
 
@@ -83,10 +84,6 @@
     raise ProtocolError('a frame of an unknown type')
 
 
-def _field_name(frame_type: type) -> str:
-    return _FIELD_NAMES[frame_type]
-
-
 @cache
 def _to_thrift(hint: Any) -> Convert:
     if dataclasses.is_dataclass(hint):
--- a/foxtailreach/testing/target.py
+++ b/foxtailreach/testing/target.py
@@ -120,7 +120,7 @@
             self.finish('error')
             return
         if behaviour.close_after_run:
-            self.request.connection.stream.close()  # type: ignore[attr-defined]
+            self._cut()
             return
         body = self._body()
         self.set_header(DIGEST_HEADER, hashlib.sha256(body).hexdigest())
@@ -129,13 +129,18 @@
         if self._state.rng.random() < behaviour.partial_ratio:
             self.write(body[: len(body) // 2])
             await self.flush()
-            self.request.connection.stream.close()  # type: ignore[attr-defined]
+            self._cut()
             return
         for start in range(0, len(body), _CHUNK_BYTES):
             self.write(body[start : start + _CHUNK_BYTES])
             await self.flush()
         self.finish()
 
+    def _cut(self) -> None:
+        stream = getattr(self.request.connection, 'stream', None)
+        if stream is not None:
+            stream.close()
+
     def _body(self) -> bytes:
         size = int(self.get_query_argument('size', '0'))
         text = json.dumps(
@@ -160,7 +165,12 @@
             ),
         )
 
-    get = head = post = put = patch = delete = _run  # type: ignore[assignment]
+    get = _run
+    head = _run
+    post = _run
+    put = _run
+    patch = _run
+    delete = _run
 
 
 class _Health(RequestHandler):
--- /dev/null
+++ b/foxtailreach/tests/config/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, mirroring the package."""
