Judge slowness by levels whose probabilities fit a heavy tail

Change: levels with the probabilities of a Pareto 1.5 tail; when most targets look sick the pool forgets its old samples, for it has shifted as a whole.

--- a/foxtailreach/core/pool/health.py
+++ b/foxtailreach/core/pool/health.py
@@ -1,9 +1,10 @@
 """Detection of gray targets by sequential comparison with their peers.
 
-Each outcome of a target is a Bernoulli trial: did it take longer than the
-90th percentile of its peers, did it fail? A cumulative sum of log-likelihood
-ratios (Page's test) grows only while the target is worse than its peers, so
-the rule needs no assumption on the distribution of service times.
+Each answer of a target falls into a level: below the 90th percentile of its
+peers, up to twice that, up to four times, and so on. A cumulative sum of
+log-likelihood ratios (Page's test) grows only while the target is worse than
+its peers. The level probabilities of a healthy target are those of a Pareto
+tail with exponent 1.5, so that heavy but healthy tails raise no alarm.
 """
 
 from __future__ import annotations
@@ -20,35 +21,40 @@
 
 EJECT_SCORE: Final = 18.0
 PROBATION_SCORE: Final = 9.0
-PEERS_SICK_SCORE: Final = 9.0
+PEERS_SICK_SCORE: Final = 4.0
 MAX_SCORE: Final = 40.0
 HARD_FAILURES: Final = 2
 SLOW_STEP: Final = 2
-SLOW_LEVEL_GAIN: Final = 0.8
 
-SLOW_PROBABILITY_HEALTHY: Final = 0.1
-SLOW_PROBABILITY_GRAY: Final = 0.5
+HEALTHY_LEVELS: Final = (0.9, 0.065, 0.0227, 0.008, 0.0043)
+GRAY_LEVELS: Final = (0.3, 0.2, 0.25, 0.15, 0.1)
+LEVEL_SCORES: Final = tuple(
+    math.log(gray / healthy)
+    for gray, healthy in zip(GRAY_LEVELS, HEALTHY_LEVELS, strict=True)
+)
+MAX_LEVEL: Final = len(LEVEL_SCORES) - 1
+REBASE_SAMPLES: Final = 16
 ERROR_PROBABILITY_HEALTHY: Final = 0.02
 ERROR_PROBABILITY_GRAY: Final = 0.3
+ERROR_SCORE: Final = math.log(
+    ERROR_PROBABILITY_GRAY / ERROR_PROBABILITY_HEALTHY,
+)
+SUCCESS_SCORE: Final = math.log(
+    (1 - ERROR_PROBABILITY_GRAY) / (1 - ERROR_PROBABILITY_HEALTHY),
+)
 
 
 class SequentialTest:
-    """Page's cumulative sum test of one Bernoulli rate against another."""
+    """Page's cumulative sum of log-likelihood ratios."""
 
-    __slots__ = ('_failure_gain', '_success_gain', 'score')
+    __slots__ = ('score',)
 
-    def __init__(self, healthy: float, gray: float) -> None:
-        """Compare the failure rate `healthy` with `gray`."""
-        self._failure_gain = math.log(gray / healthy)
-        self._success_gain = math.log((1 - gray) / (1 - healthy))
+    def __init__(self) -> None:
+        """Start without suspicion."""
         self.score = 0.0
 
-    def record(self, *, failed: bool) -> None:
-        """Add one trial."""
-        self.add(self._failure_gain if failed else self._success_gain)
-
     def add(self, gain: float) -> None:
-        """Add a log-likelihood ratio."""
+        """Add the log-likelihood ratio of one observation."""
         self.score = min(MAX_SCORE, max(0, self.score + gain))
 
 
@@ -65,14 +71,30 @@
     def clear_scores(self) -> None:
         """Forget all suspicion but keep the latency samples."""
         self.hard_failures = 0
-        self.slow = SequentialTest(
-            SLOW_PROBABILITY_HEALTHY,
-            SLOW_PROBABILITY_GRAY,
-        )
-        self.errors = SequentialTest(
-            ERROR_PROBABILITY_HEALTHY,
-            ERROR_PROBABILITY_GRAY,
-        )
+        self.slow = SequentialTest()
+        self.errors = SequentialTest()
+
+    def record_result(self, *, failed: bool) -> None:
+        """Count a success or an error."""
+        self.errors.add(ERROR_SCORE if failed else SUCCESS_SCORE)
+
+    def record_fast(self) -> None:
+        """Count an answer below the reference latency."""
+        self.slow.add(LEVEL_SCORES[0])
+
+    def record_slow_level(self, level: int) -> None:
+        """Count that an answer reached a level; each level only once."""
+        gain = LEVEL_SCORES[level]
+        if level > 1:
+            gain -= LEVEL_SCORES[level - 1]
+        self.slow.add(gain)
+
+    def rebase(self) -> None:
+        """Forget suspicion and old samples after a shift of the whole pool."""
+        self.clear_scores()
+        for samples in self.samples.values():
+            while len(samples) > REBASE_SAMPLES:
+                samples.popleft()
 
     @property
     def score(self) -> float:
@@ -87,13 +109,6 @@
             self.samples[duration_class] = samples
         samples.append(latency_us)
 
-    def record_slow_level(self, level: int) -> None:
-        """Count a latency that reached a level; each level only once."""
-        if level == 1:
-            self.slow.record(failed=True)
-        else:
-            self.slow.add(SLOW_LEVEL_GAIN)
-
     def quantile_us(self, duration_class: str) -> int | None:
         """Return the reference quantile of this target's own samples."""
         samples = self.samples.get(duration_class, ())
--- a/foxtailreach/core/pool/monitor.py
+++ b/foxtailreach/core/pool/monitor.py
@@ -9,7 +9,12 @@
 from foxtailreach.core.events import AttemptOutcome
 from foxtailreach.core.pool import ejection
 from foxtailreach.core.pool.attempts import Attempt
-from foxtailreach.core.pool.health import PeerComparison, slow_level
+from foxtailreach.core.pool.health import (
+    MAX_LEVEL,
+    PeerComparison,
+    is_pool_sick,
+    slow_level,
+)
 from foxtailreach.core.pool.targets import TargetState, TargetStatus
 from foxtailreach.core.units import MILLISECOND_US
 
@@ -54,7 +59,7 @@
         if attempt.is_shed:
             state.ramp.record_overload(now_us)
             return
-        state.health.errors.record(failed=attempt.is_failed)
+        state.health.record_result(failed=attempt.is_failed)
         if not attempt.is_failed and attempt.is_comparable:
             self._record_latency(attempt, now_us)
 
@@ -69,7 +74,7 @@
             case AttemptOutcome.CONNECT_FAILED:
                 attempt.state.record_connect_failure(now_us)
             case AttemptOutcome.PARTIAL | AttemptOutcome.TIMEOUT:
-                attempt.state.health.errors.record(failed=True)
+                attempt.state.health.record_result(failed=True)
             case _:
                 return
 
@@ -78,13 +83,7 @@
         if now_us < self._next_refresh_us:
             return []
         self._next_refresh_us = now_us + REFRESH_INTERVAL_US
-        self._comparison.refresh(
-            {
-                name: state.health
-                for name, state in self._targets.items()
-                if state.status is TargetStatus.HEALTHY
-            }
-        )
+        self._refresh()
         for attempt in attempts:
             self._count_overdue(attempt, now_us)
         step = self._restore_to_floor(now_us)
@@ -113,6 +112,17 @@
         state.eject(now_us)
         return [effects.Note('target-ejected', state.name, cause)]
 
+    def _refresh(self) -> None:
+        healths = {
+            name: state.health
+            for name, state in self._targets.items()
+            if state.status is TargetStatus.HEALTHY
+        }
+        if len(healths) > 1 and is_pool_sick(healths.values()):
+            for health in healths.values():
+                health.rebase()
+        self._comparison.refresh(healths)
+
     def _restore_to_floor(self, now_us: int) -> Effects:
         """Return the least bad targets after others left the pool."""
         floor = ejection.floor_targets(self._targets, self.service)
@@ -155,7 +165,7 @@
         if level:
             _count_slow(attempt, level)
         else:
-            state.health.slow.record(failed=False)
+            state.health.record_fast()
         state.health.add_sample(attempt.duration, latency_us)
         self.service_us += SERVICE_TIME_GAIN * (latency_us - self.service_us)
         if state.status is TargetStatus.TRIAL and not level:
@@ -197,6 +207,6 @@
 
 
 def _count_slow(attempt: Attempt, level: int) -> None:
-    while attempt.slow_level < level:
+    while attempt.slow_level < min(level, MAX_LEVEL):
         attempt.slow_level += 1
         attempt.state.health.record_slow_level(attempt.slow_level)
--- a/foxtailreach/core/pool/owner.py
+++ b/foxtailreach/core/pool/owner.py
@@ -378,7 +378,7 @@
             return []
         fingerprint = attempt.job.handoff.fingerprint
         if not self._crashes.is_suspect(fingerprint):
-            attempt.state.health.errors.record(failed=True)
+            attempt.state.health.record_result(failed=True)
         report = messages.CrashRumor(
             fingerprint=fingerprint,
             target=attempt.state.name,
--- a/foxtailreach/tests/core/at_most_once_tests.py
+++ b/foxtailreach/tests/core/at_most_once_tests.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from dataclasses import replace
+from functools import partial
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -112,13 +113,8 @@
         )
         sent[request_id] = (method, customer)
         if chaos.random() < 0.1:
-            fleet.after(
-                5000,
-                lambda host_id=host_id, request_id=request_id: fleet.post(
-                    host_id,
-                    events.CallerGone(request_id),
-                ),
-            )
+            gone = events.CallerGone(request_id)
+            fleet.after(5000, partial(fleet.post, host_id, gone))
     fleet.run_until(fleet.now_us + 15 * SECOND_US)
     runs: Counter[str] = Counter()
     for target in fleet.targets.values():
@@ -141,7 +137,7 @@
             assert runs[answer.request_id]
 
 
-def test_duplicate_result_of_an_earlier_hop_does_not_start_a_second_run() -> (
+def test_stale_result_starts_no_second_run() -> (
     None
 ):
     objects = without_limits(load_deployment('scara'))
--- a/foxtailreach/tests/core/pool_machine_tests.py
+++ b/foxtailreach/tests/core/pool_machine_tests.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+from ipaddress import IPv4Address
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -26,7 +27,8 @@
 
 
 def build_target(slots: int = 2) -> Target:
-    return Target('service', 'domain', '127.0.0.1', 9000, slots)  # type: ignore[arg-type]
+    address = IPv4Address('127.0.0.1')
+    return Target('service', 'domain', address, 9000, slots)
 
 
 def build_handoff(
