Keep cold targets at what they bear; refuse at once while taking a pool over

Cause: in a fleet of 12 hosts whose targets stay cold for 5 s the ramp probed every 0.4 s: 68-97 sheds in 9 s. When a domain returned, entry hosts took its pools for free and queued into owners that did not dispatch yet: refusals 'overload' at half of capacity. Change: services state warm_up_ms, a shed makes the target wait again and longer; an owner that waits out a takeover refuses at once, so that the entry host goes elsewhere; a pool never heard of counts one slot a target. After: no cold target got a request above its capacity (fleet start, owner killed, domain back), nobody was refused while a domain left and returned.

--- a/foxtailreach/bench/deployments.py
+++ b/foxtailreach/bench/deployments.py
@@ -51,7 +51,7 @@
     rng = random.Random(fleet.rng.getrandbits(32))
 
     def arrive() -> None:
-        hosts = list(fleet.nodes)
+        hosts = fleet.entry_hosts
         method = 'POST' if rng.random() < post_ratio else 'GET'
         fleet.request(rng.choice(hosts), key, path, method)
         schedule()
--- a/foxtailreach/bench/fleet.py
+++ b/foxtailreach/bench/fleet.py
@@ -102,6 +102,8 @@
         self.counters = Counters()
         self.log: list[bytes] = []
         self.is_log_away = False
+        self.isolated_from_log: set[str] = set()
+        self.stopping: set[str] = set()
         self.cut_links: set[tuple[str, str]] = set()
         self.paused: set[str] = set()
         self.loss_ratio = 0.0
@@ -156,6 +158,21 @@
         for host_id in list(self.nodes):
             self.post(host_id, events.HostsListed(hosts))
 
+    def stop_host(self, host_id: str) -> None:
+        """Stop a host gracefully; it goes when its work is done."""
+        self.stopping.add(host_id)
+        self.post(host_id, events.StopRequested())
+
+    @property
+    def entry_hosts(self) -> list[str]:
+        """Hosts to which the balancer sends callers."""
+        return [name for name in self.nodes if name not in self.stopping]
+
+    @property
+    def unanswered(self) -> list[str]:
+        """Requests without an answer so far."""
+        return list(self._requests)
+
     def publish(self, change: ChangeSet) -> None:
         """Append a change set to the log."""
         self._append(encode_record(ChangeRecord(change)))
@@ -204,7 +221,10 @@
                     AttemptOutcome.CANCELLED,
                 )
             case effects.Append(payload=payload):
-                self._append(payload)
+                if host_id not in self.isolated_from_log:
+                    self._append(payload)
+            case effects.Stopped():
+                self.after(0, lambda: self.kill_host(host_id, SECOND_US))
             case effects.Note(name='target-ejected') as note:
                 self.counters.ejections.append(
                     (self.now_us, note.subject, note.detail),
@@ -390,7 +410,7 @@
         node = self.nodes.get(host_id)
         if node is None:
             return
-        if self.is_log_away:
+        if self.is_log_away or host_id in self.isolated_from_log:
             self.post(host_id, events.LogFailed())
         else:
             offset = node.fold.next_offset
--- a/foxtailreach/config/objects.py
+++ b/foxtailreach/config/objects.py
@@ -32,6 +32,7 @@
 
     floor_percent: Annotated[int, Field(ge=0, le=100)] = 50
     cold_slots: Annotated[int, Field(ge=1, le=1024)] = 1
+    warm_up_ms: Annotated[int, Field(ge=0, le=600_000)] = 1000
     cold_idle_ms: Annotated[int, Field(ge=1000)] = 600_000
     max_queue_ms: Annotated[int, Field(ge=0, le=60_000)] = 500
     shed_statuses: tuple[Annotated[int, Field(ge=400, le=599)], ...] = ()
--- a/foxtailreach/core/loads.py
+++ b/foxtailreach/core/loads.py
@@ -138,7 +138,7 @@
         if known is not None and now_us - known.observed_us < STALE_LOAD_US:
             return known
         fresh = PoolEstimate(
-            slots=pool.slots,
+            slots=len(pool.targets),
             busy=0,
             queued=0,
             service_us=DEFAULT_SERVICE_US,
--- a/foxtailreach/core/pool/owner.py
+++ b/foxtailreach/core/pool/owner.py
@@ -137,7 +137,7 @@
                 continue
             state.phantoms = allowance.in_flight
             if not self.is_active:
-                state.ramp.reset(allowance.allowed, now_us)
+                state.ramp.reset(allowance.allowed, 0, now_us)
         self.activates_at_us = min(self.activates_at_us, now_us)
         return self._dispatch(now_us)
 
@@ -161,7 +161,7 @@
             return [self._refuse(job, Reason.QUARANTINED)]
         if job.deadline_us <= now_us:
             return [self._refuse(job, Reason.DEADLINE)]
-        if not self.slots:
+        if not self.slots or self.activates_at_us > job.expires_us:
             return [self._refuse(job, Reason.NO_TARGET)]
         wait_us = self.estimate_wait_us(handoff.customer, handoff.weight)
         if now_us + wait_us > job.expires_us:
@@ -275,9 +275,9 @@
             state = TargetState.from_config(name, target, self.service, now_us)
             self.targets[name] = state
         elif state.target.generation != target.generation or state.is_draining:
-            state.ramp.reset(self.service.cold_slots, now_us)
+            state.start_cold(self.service, now_us)
         if state.ramp.slots != target.slots:
-            state.ramp.resize(target.slots, now_us)
+            state.ramp.resize(target.slots)
         state.target = target
         state.is_draining = target.state == 'draining'
 
--- a/foxtailreach/core/pool/targets.py
+++ b/foxtailreach/core/pool/targets.py
@@ -52,7 +52,7 @@
         """Start as a cold target without any allowance yet."""
         self.name = name
         self.target = target
-        self.ramp = Ramp(1, target.slots, now_us)
+        self.ramp = Ramp(target.slots)
         self.health = TargetHealth()
         self.in_flight = 0
         self.phantoms = 0
@@ -74,7 +74,7 @@
     ) -> TargetState:
         """Create the state of a target that is assumed to be cold."""
         state = cls(name, target, now_us)
-        state.ramp.reset(service.cold_slots, now_us)
+        state.start_cold(service, now_us)
         return state
 
     @property
@@ -143,11 +143,16 @@
         self.status = TargetStatus.HEALTHY
         self.returned_us = now_us
         self.health.clear_scores()
-        self.ramp.reset(service.cold_slots, now_us)
+        self.start_cold(service, now_us)
+
+    def start_cold(self, service: Service, now_us: int) -> None:
+        """Allow only what a cold target bears, and ramp up later."""
+        warm_up_us = service.warm_up_ms * MILLISECOND_US
+        self.ramp.reset(service.cold_slots, warm_up_us, now_us)
 
     def cool_if_idle(self, service: Service, now_us: int) -> None:
         """Treat a target as cold after a long time without requests."""
         idle_us = now_us - self.last_used_us
         if idle_us > service.cold_idle_ms * MILLISECOND_US:
-            self.ramp.reset(service.cold_slots, now_us)
+            self.start_cold(service, now_us)
         self.last_used_us = now_us
--- a/foxtailreach/tests/core/at_most_once_tests.py
+++ b/foxtailreach/tests/core/at_most_once_tests.py
@@ -137,9 +137,7 @@
             assert runs[answer.request_id]
 
 
-def test_stale_result_starts_no_second_run() -> (
-    None
-):
+def test_stale_result_starts_no_second_run() -> None:
     objects = without_limits(load_deployment('scara'))
     fleet = Fleet(replace(objects), seed=3)
     fleet.add_hosts(HOSTS)
--- /dev/null
+++ b/foxtailreach/tests/core/fleet_tests.py
@@ -0,0 +1,312 @@
+"""Whole fleets in virtual time: what hosts share, under failures."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from foxtailreach.bench.deployments import (
+    key_of,
+    load_deployment,
+    offer_load,
+    start_fleet,
+)
+from foxtailreach.bench.fleet import Fleet
+from foxtailreach.bench.routing import capacity_per_s, without_limits
+from foxtailreach.bench.statistics import worst_excess
+from foxtailreach.config.objects import (
+    ChangeSet,
+    FailureDomain,
+    Limit,
+    Objects,
+    Removals,
+)
+from foxtailreach.core.messages import Liveness
+from foxtailreach.core.units import SECOND_US
+from foxtailreach.core.verdict import Reason
+
+OBJECTS = load_deployment('scara')
+UNLIMITED = without_limits(OBJECTS)
+CUSTOMER = 'livada-bascov'
+IN_FORCE_US = 7 * SECOND_US
+
+
+def owner_of(fleet: Fleet, pool_id: str) -> str:
+    (owner,) = [
+        host_id
+        for host_id, node in fleet.nodes.items()
+        if pool_id in node.ownership.pools
+    ]
+    return owner
+
+
+def domain_change(fleet: Fleet, domain: str, state: str) -> ChangeSet:
+    version = next(iter(fleet.nodes.values())).fold.version
+    entry = FailureDomain(state)  # type: ignore[arg-type]
+    change = Objects(domains={domain: entry})
+    return ChangeSet(f'{domain}-{state}-{version}', version, change)
+
+
+def serve_load(fleet: Fleet, load: float, seconds: float) -> None:
+    rate = load * capacity_per_s(fleet.objects, 'stoc')
+    end_us = fleet.now_us + int(seconds * SECOND_US)
+    offer_load(fleet, '/stoc/item', key_of(CUSTOMER), rate, end_us)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'limit_us'),
+    [
+        ({'is_refusing': True}, SECOND_US),
+        ({'slow_factor': 10}, 3 * SECOND_US),
+        ({'error_ratio': 0.3}, 3 * SECOND_US),
+        ({'is_hanging': True}, 3 * SECOND_US),
+    ],
+    ids=lambda param: str(param),
+)
+@pytest.mark.parametrize('load', [0.6, 0.9])
+def test_failing_target_is_out_of_use_in_time(
+    fault: dict[str, float],
+    limit_us: int,
+    load: float,
+) -> None:
+    fleet = start_fleet(UNLIMITED, seed=5)
+    serve_load(fleet, load, 14)
+    fleet.run_until(fleet.now_us + 8 * SECOND_US)
+    assert not fleet.counters.ejections
+    target = fleet.targets['stoc-04']
+    for name, setting in fault.items():
+        setattr(target, name, setting)
+    broken_us = fleet.now_us
+    fleet.run_until(broken_us + limit_us)
+    assert {name for _, name, _ in fleet.counters.ejections} == {'stoc-04'}
+
+
+@pytest.mark.parametrize('event', ['start', 'owner killed', 'domain returns'])
+def test_cold_target_gets_no_more_than_it_bears(event: str) -> None:
+    service = replace(UNLIMITED.services['stoc'], warm_up_ms=5000)
+    objects = replace(
+        UNLIMITED,
+        services={**UNLIMITED.services, 'stoc': service},
+    )
+    fleet = Fleet(objects, seed=2)
+    for target in fleet.targets.values():
+        target.warm_at_us = 5 * SECOND_US
+    fleet.add_hosts(12)
+    fleet.run_until(2 * SECOND_US)
+    serve_load(fleet, 0.5, 20)
+    fleet.run_until(3 * SECOND_US)
+    if event == 'owner killed':
+        victim = owner_of(fleet, 'stoc/pitesti/0')
+        fleet.kill_host(victim, list_lag_us=5 * SECOND_US)
+    if event == 'domain returns':
+        fleet.publish(domain_change(fleet, 'pitesti', 'out'))
+        fleet.run_until(5 * SECOND_US)
+        for target in fleet.targets.values():
+            if target.domain == 'pitesti':
+                target.warm_at_us = fleet.now_us + 5 * SECOND_US
+        fleet.publish(domain_change(fleet, 'pitesti', 'active'))
+    fleet.run_until(12 * SECOND_US)
+    overloads = [
+        target.max_excess
+        for target in fleet.targets.values()
+        if target.max_excess > 0
+    ]
+    assert not overloads
+
+
+def test_killed_owner_is_replaced_and_every_request_is_answered() -> None:
+    fleet = start_fleet(UNLIMITED, seed=4, hosts=12)
+    serve_load(fleet, 0.5, 10)
+    fleet.run_until(fleet.now_us + 2 * SECOND_US)
+    pool_id = 'stoc/topoloveni/0'
+    victim = owner_of(fleet, pool_id)
+    lost = set(fleet.nodes[victim].entry.pending)
+    fleet.kill_host(victim, list_lag_us=30 * SECOND_US)
+    fleet.run_until(fleet.now_us + 5 * SECOND_US)
+    assert owner_of(fleet, pool_id) != victim
+    fleet.answers.clear()
+    fleet.run_until(fleet.now_us + 2 * SECOND_US)
+    assert fleet.answers
+    assert not [answer for answer in fleet.answers if answer.refusal]
+    fleet.run_until(fleet.now_us + 15 * SECOND_US)
+    unanswered = set(fleet.unanswered) - lost
+    assert not unanswered
+
+
+def test_domain_taken_out_gets_no_new_work_and_nobody_is_refused() -> None:
+    fleet = start_fleet(UNLIMITED, seed=6)
+    serve_load(fleet, 0.5, 16)
+    fleet.run_until(fleet.now_us + 6 * SECOND_US)
+    fleet.answers.clear()
+    fleet.publish(domain_change(fleet, 'pitesti', 'out'))
+    published_us = fleet.now_us
+    fleet.run_until(published_us + 5 * SECOND_US)
+    last_us = max(
+        target.runs[-1][0]
+        for target in fleet.targets.values()
+        if target.domain == 'pitesti' and target.runs
+    )
+    assert last_us - published_us < 3 * SECOND_US
+    fleet.publish(domain_change(fleet, 'pitesti', 'active'))
+    fleet.run_until(fleet.now_us + 5 * SECOND_US)
+    refused = Counter(answer.refusal for answer in fleet.answers)
+    assert set(refused) == {''}
+
+
+@pytest.mark.parametrize('hosts', [3, 40, 120])
+def test_change_is_in_force_everywhere_in_time(hosts: int) -> None:
+    fleet = start_fleet(OBJECTS, seed=7, hosts=hosts)
+    change = Removals(keys=(f'{CUSTOMER}-1',))
+    version = fleet.nodes['host-0000'].fold.version
+    fleet.publish(ChangeSet('withdraw', version, removals=change))
+    fleet.run_until(fleet.now_us + IN_FORCE_US)
+    for node in fleet.nodes.values():
+        assert node.catalog.customer_of_key(key_of(CUSTOMER)) is None
+
+
+def test_racing_operators_get_one_winner_and_one_rejection() -> None:
+    fleet = start_fleet(OBJECTS, seed=8, hosts=6)
+    version = fleet.nodes['host-0000'].fold.version
+    for number, rate in ((1, 50), (2, 70)):
+        limits = Objects(limits={'small': Limit(rate, rate)})
+        fleet.publish(ChangeSet(f'race-{number}', version, limits))
+        fleet.publish(ChangeSet(f'race-{number}', version, limits))
+    fleet.run_until(fleet.now_us + IN_FORCE_US)
+    for node in fleet.nodes.values():
+        assert node.fold.version == version + 1
+        assert node.fold.objects.limits['small'].rate_per_s == 50
+        loser = node.fold.outcome('race-2')
+        assert loser is not None
+        assert 'is in force' in loser.faults
+
+
+def test_new_host_serves_while_the_log_is_away() -> None:
+    fleet = start_fleet(UNLIMITED, seed=9, hosts=6)
+    fleet.is_log_away = True
+    fleet.run_until(fleet.now_us + 20 * SECOND_US)
+    fleet.replace_host('host-0002')
+    fleet.run_until(fleet.now_us + 5 * SECOND_US)
+    fleet.request('host-0002', key_of(CUSTOMER), '/stoc/item')
+    fleet.run_until(fleet.now_us + SECOND_US)
+    (answer,) = fleet.answers
+    assert not answer.refusal
+
+
+def test_host_that_reaches_nobody_refuses_keys_within_seconds() -> None:
+    fleet = start_fleet(UNLIMITED, seed=10, hosts=6)
+    others = [host_id for host_id in fleet.nodes if host_id != 'host-0000']
+    for other in others:
+        fleet.cut_links |= {('host-0000', other), (other, 'host-0000')}
+    fleet.isolated_from_log.add('host-0000')
+    fleet.run_until(fleet.now_us + 5 * SECOND_US)
+    fleet.request('host-0000', key_of(CUSTOMER), '/stoc/item')
+    fleet.run_until(fleet.now_us + SECOND_US)
+    (answer,) = fleet.answers
+    assert answer.refusal == Reason.KEYS_UNCERTAIN.value
+
+
+@pytest.mark.parametrize('fault', ['one-way cut', 'loss', 'pause'])
+def test_live_host_is_not_reported_as_down(fault: str) -> None:
+    fleet = start_fleet(OBJECTS, seed=11, hosts=20)
+    observer = fleet.nodes['host-0003']
+    subject = observer.membership.neighbours[0]
+    if fault == 'one-way cut':
+        fleet.cut_links.add((subject, 'host-0003'))
+    elif fault == 'loss':
+        fleet.loss_ratio = 0.05
+    else:
+        fleet.paused.add('host-0003')
+        fleet.after(2 * SECOND_US, lambda: fleet.paused.clear())
+    fleet.run_until(fleet.now_us + 30 * SECOND_US)
+    down = [
+        (host_id, other)
+        for host_id, node in fleet.nodes.items()
+        for other, state in node.membership.hosts.items()
+        if state.liveness is Liveness.DOWN
+    ]
+    assert not down
+
+
+def test_dead_host_is_known_everywhere_before_the_list_says_so() -> None:
+    fleet = start_fleet(OBJECTS, seed=12)
+    fleet.kill_host('host-0007', list_lag_us=60 * SECOND_US)
+    fleet.run_until(fleet.now_us + 3 * SECOND_US)
+    unaware = [
+        host_id
+        for host_id, node in fleet.nodes.items()
+        if node.membership.is_usable('host-0007')
+    ]
+    assert not unaware
+
+
+def test_few_are_refused_at_95_percent_of_a_rate_that_moves_between_hosts() -> (
+    None
+):
+    rate = 200
+    limits = dict.fromkeys(OBJECTS.limits, Limit(rate, rate))
+    objects = replace(OBJECTS, limits=limits)
+    fleet = start_fleet(objects, seed=13)
+    start_us = fleet.now_us + 2 * SECOND_US
+    fleet.run_until(start_us)
+    offer_load(
+        fleet,
+        '/stoc/item',
+        key_of(CUSTOMER),
+        0.95 * rate,
+        start_us + 20 * SECOND_US,
+    )
+    fleet.run_until(start_us + 21 * SECOND_US)
+    refused = [
+        answer
+        for answer in fleet.answers
+        if answer.refusal == Reason.OVER_LIMIT.value
+    ]
+    assert len(fleet.answers) > 3000
+    assert len(refused) / len(fleet.answers) < 0.001
+
+
+@pytest.mark.parametrize('is_log_away', [False, True])
+@pytest.mark.parametrize('kill', [False, True])
+def test_limit_holds_over_all_hosts_together(
+    is_log_away: bool,
+    kill: bool,
+) -> None:
+    rate = 90
+    limits = dict.fromkeys(OBJECTS.limits, Limit(rate, rate))
+    fleet = start_fleet(replace(OBJECTS, limits=limits), seed=14, hosts=9)
+    fleet.run_until(fleet.now_us + 2 * SECOND_US)
+    end_us = fleet.now_us + 16 * SECOND_US
+    offer_load(fleet, '/stoc/item', key_of(CUSTOMER), 3 * rate, end_us)
+    fleet.run_until(fleet.now_us + 3 * SECOND_US)
+    fleet.is_log_away = is_log_away
+    if kill:
+        holders = {
+            holder.host_id
+            for holder in fleet.nodes['host-0000'].fold.holders.values()
+        }
+        fleet.kill_host(sorted(holders - {'host-0000'})[0], SECOND_US)
+    fleet.run_until(end_us)
+    runs_s = [
+        at_us / SECOND_US
+        for target in fleet.targets.values()
+        for at_us, _, customer in target.runs
+        if customer == CUSTOMER
+    ]
+    slack = 0.05 * rate
+    assert worst_excess(runs_s, rate, rate) <= slack
+    assert len(runs_s) > 10 * rate
+
+
+def test_graceful_stop_refuses_nothing_and_hands_pools_over() -> None:
+    fleet = start_fleet(UNLIMITED, seed=15, hosts=9)
+    serve_load(fleet, 0.4, 14)
+    fleet.run_until(fleet.now_us + 4 * SECOND_US)
+    fleet.answers.clear()
+    for host_id in sorted(fleet.nodes)[:6]:
+        fleet.stop_host(host_id)
+        fleet.run_until(fleet.now_us + SECOND_US)
+    fleet.run_until(fleet.now_us + 6 * SECOND_US)
+    refused = Counter(answer.refusal for answer in fleet.answers)
+    assert set(refused) == {''}
--- a/foxtailreach/tests/core/pool_tests.py
+++ b/foxtailreach/tests/core/pool_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -162,7 +163,7 @@
     assert served.count('modest') >= 3
 
 
-SERVICE_TIMES = {
+SERVICE_TIMES: dict[str, Callable[[random.Random], float]] = {
     'exponential': lambda rng: rng.expovariate(1 / 20_000),
     'lognormal': lambda rng: rng.lognormvariate(9.2, 1.2),
     'pareto': lambda rng: min(1_000_000, 8000 * rng.paretovariate(1.8)),
