--- a/foxtailreach/__main__.py
+++ b/foxtailreach/__main__.py
@@ -142,6 +142,26 @@
     run_demo(deployment.value, as_json=as_json)
 
 
+@app.command('bench-routing')
+def bench_routing(
+    deployment: Deployment = Deployment.SCARA,
+    seed: int = 1,
+    as_json: Annotated[bool, typer.Option('--json')] = False,
+) -> None:
+    """Compare ways to choose a target, in virtual time."""
+    from foxtailreach.queries.benches import print_routing
+
+    print_routing(deployment.value, seed, typer.echo, as_json=as_json)
+
+
+@app.command()
+def slopes() -> None:
+    """Measure the slopes behind the capacity page."""
+    from foxtailreach.queries.benches import print_slopes
+
+    print_slopes(typer.echo)
+
+
 def _platform(settings_path: Path) -> PlatformAddress:
     section = HostSettings.from_toml(settings_path).platform
     return PlatformAddress(
--- /dev/null
+++ b/foxtailreach/bench/slopes.py
@@ -0,0 +1,209 @@
+"""Measures the slopes behind docs/CAPACITY.md.
+
+Every figure is one function, run by `foxtailreach slopes`. Memory is counted
+by tracemalloc, processor time by the process clock.
+"""
+
+from __future__ import annotations
+
+import gc
+import hashlib
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from ipaddress import IPv4Address
+
+from foxtailreach.bench.deployments import (
+    key_of,
+    load_deployment,
+    offer_load,
+    start_fleet,
+)
+from foxtailreach.bench.fleet import Fleet
+from foxtailreach.bench.routing import without_limits
+from foxtailreach.config.objects import (
+    ChangeSet,
+    Customer,
+    FailureDomain,
+    Key,
+    Limit,
+    Objects,
+    Route,
+    Service,
+    Target,
+)
+from foxtailreach.config.records import ChangeRecord, encode_record
+from foxtailreach.core import messages
+from foxtailreach.core.catalog import Catalog
+from foxtailreach.core.fold import Fold
+from foxtailreach.core.limits.bucket import Bucket
+from foxtailreach.core.units import SECOND_US
+from foxtailreach.rpc.codec import encode_frame
+
+PLANNED_CUSTOMERS = 360_000
+PLANNED_ROUTES = 33_000
+PLANNED_TARGETS = 93_000
+PLANNED_SERVICES = 2_100
+PLANNED_DOMAINS = 15
+GOSSIP_SECONDS = 10
+FLEET_SIZES = (40, 120, 240)
+_BYTES_PER_MB = 1_000_000
+_MS_PER_S = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """One measured figure."""
+
+    subject: str
+    figure: str
+
+
+def measure_slopes() -> list[Slope]:
+    """Measure all slopes, one after the other."""
+    return [
+        *measure_configuration(),
+        *measure_gossip(),
+        measure_request(),
+        measure_buckets(),
+    ]
+
+
+def planned_objects(share: float) -> Objects:
+    """Build a configuration of a share of the planned size."""
+    domains = [f'domain-{index}' for index in range(PLANNED_DOMAINS)]
+    services = [
+        f's-{number}' for number in range(int(PLANNED_SERVICES * share))
+    ]
+    customers = int(PLANNED_CUSTOMERS * share)
+    address = IPv4Address('10.0.0.1')
+    return Objects(
+        domains={name: FailureDomain() for name in domains},
+        services={name: Service() for name in services},
+        targets={
+            f't-{index}': Target(
+                services[index % len(services)],
+                domains[index % len(domains)],
+                address,
+                port=9000,
+                slots=2,
+            )
+            for index in range(int(PLANNED_TARGETS * share))
+        },
+        routes={
+            f'r-{index}': Route(services[index % len(services)], f'/r/{index}')
+            for index in range(int(PLANNED_ROUTES * share))
+        },
+        limits={'small': Limit(5, 10)},
+        customers={
+            f'c-{index}': Customer('small') for index in range(customers)
+        },
+        keys={
+            f'k-{index}': Key(
+                f'c-{index}',
+                hashlib.sha256(f'{index}'.encode()).hexdigest(),
+            )
+            for index in range(customers)
+        },
+    )
+
+
+def measure_configuration() -> list[Slope]:
+    """Measure the fold at a tenth and at the whole of the planned size."""
+    return [_measure_fold(share) for share in (0.1, 1.0)]
+
+
+def measure_gossip() -> list[Slope]:
+    """Measure control traffic and CPU of an idle fleet by its size."""
+    return [_measure_idle_fleet(hosts) for hosts in FLEET_SIZES]
+
+
+def measure_request() -> Slope:
+    """Measure the core's CPU for a request across two hosts."""
+    fleet = start_fleet(without_limits(load_deployment('scara')), seed=1)
+    end_us = fleet.now_us + 5 * SECOND_US
+    idle_s = _seconds(lambda: fleet.run_until(fleet.now_us + SECOND_US))
+    offer_load(fleet, '/stoc/item', key_of('livada-bascov'), 500, end_us)
+    start_us = fleet.now_us
+    busy_s = _seconds(lambda: fleet.run_until(end_us))
+    seconds = (end_us - start_us) / SECOND_US
+    per_request_us = (busy_s - idle_s * seconds) * SECOND_US
+    per_request_us /= max(1, len(fleet.answers))
+    return Slope(
+        'core CPU for a request, entry host and owner, model included',
+        f'{per_request_us:.0f} us',
+    )
+
+
+def measure_buckets(count: int = 20_000) -> Slope:
+    """Measure the memory of a holder's buckets."""
+    part = Limit(2, 4)
+    tracemalloc.start()
+    buckets = {f'c-{index}': Bucket(part, 0, 0) for index in range(count)}
+    for bucket in buckets.values():
+        bucket.lend('entry', 1, 1, SECOND_US)
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return Slope('a bucket with one loan', f'{kept / count:.0f} bytes')
+
+
+def _measure_fold(share: float) -> Slope:
+    change = ChangeSet('initial', 0, planned_objects(share))
+    payload = encode_record(ChangeRecord(change))
+    catalog = Catalog()
+    fold = Fold(catalog.apply)
+    tracemalloc.start()
+    fold_s = _seconds(partial(fold.apply, 0, payload))
+    gc.collect()
+    kept, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    limits = Objects(limits={'small': Limit(6, 10)})
+    small = encode_record(ChangeRecord(ChangeSet('small', 1, limits)))
+    change_s = _seconds(partial(fold.apply, 1, small))
+    return Slope(
+        f'configuration at {share:.0%} of the planned size',
+        f'{kept / _BYTES_PER_MB:.0f} MB kept, '
+        f'{peak / _BYTES_PER_MB:.0f} MB peak, '
+        f'first fold {fold_s:.1f} s (under tracemalloc), '
+        f'snapshot {len(fold.encoded_snapshot()) / _BYTES_PER_MB:.1f} MB, '
+        f'one small change {change_s * _MS_PER_S:.1f} ms',
+    )
+
+
+def _measure_idle_fleet(hosts: int) -> Slope:
+    fleet = Fleet(load_deployment('scara'), seed=1)
+    fleet.add_hosts(hosts)
+    fleet.run_until(6 * SECOND_US)
+    sent_bytes = 0
+
+    def count(message: messages.PeerMessage) -> None:
+        nonlocal sent_bytes
+        sent_bytes += len(encode_frame(message))
+
+    cpu_s = _seconds(
+        lambda: fleet.run_until(fleet.now_us + GOSSIP_SECONDS * SECOND_US),
+    )
+    fleet.sent_bytes = count
+    fleet.run_until(fleet.now_us + GOSSIP_SECONDS * SECOND_US)
+    idle_bytes = sent_bytes / hosts / GOSSIP_SECONDS
+    sent_bytes = 0
+    victim = random.Random(1).choice(sorted(fleet.nodes))
+    fleet.kill_host(victim, list_lag_us=5 * SECOND_US)
+    fleet.run_until(fleet.now_us + GOSSIP_SECONDS * SECOND_US)
+    rumor_bytes = sent_bytes / hosts - idle_bytes * GOSSIP_SECONDS
+    return Slope(
+        f'control of an idle fleet of {hosts} hosts',
+        f'{idle_bytes:.0f} bytes/s sent and '
+        f'{cpu_s / hosts / GOSSIP_SECONDS:.2%} of a core per host; '
+        f'{max(0, rumor_bytes):.0f} bytes per host for a killed host',
+    )
+
+
+def _seconds(action: Callable[[], object]) -> float:
+    gc.collect()
+    started_s = time.process_time()
+    action()
+    return time.process_time() - started_s
--- a/foxtailreach/core/catalog.py
+++ b/foxtailreach/core/catalog.py
@@ -42,11 +42,9 @@
 
     __slots__ = (
         '_digests',
-        '_key_digests',
         '_pools',
         '_prefixes',
         '_service_pools',
-        '_target_services',
         '_targets',
         'objects',
     )
@@ -55,19 +53,22 @@
         """Start empty; see `apply`."""
         self.objects = Objects()
         self._digests: dict[str, str] = {}
-        self._key_digests: dict[str, str] = {}
-        self._target_services: dict[str, str] = {}
         self._prefixes: dict[str, str] = {}
         self._targets: dict[str, dict[str, Target]] = {}
         self._service_pools: dict[str, tuple[Pool, ...]] = {}
         self._pools: dict[str, Pool] = {}
 
-    def apply(self, objects: Objects, change: ChangeSet) -> None:
+    def apply(
+        self,
+        objects: Objects,
+        change: ChangeSet,
+        replaced: Objects,
+    ) -> None:
         """Update the indexes; `objects` already contains the change."""
         self.objects = objects
-        self._index_keys(change)
+        self._index_keys(change, replaced)
         self._index_routes(change)
-        self._index_targets(change)
+        self._index_targets(change, replaced)
 
     def customer_of_key(self, key: str) -> str | None:
         """Return the customer of a caller's key, if the key is in force."""
@@ -121,14 +122,11 @@
             self.pools_of(pool_id.partition('/')[0])
         return self._pools.get(pool_id)
 
-    def _index_keys(self, change: ChangeSet) -> None:
-        for touched in (*change.removals.keys, *change.upserts.keys):
-            digest = self._key_digests.pop(touched, None)
-            if digest is not None and self._digests[digest] == touched:
-                self._digests.pop(digest)
+    def _index_keys(self, change: ChangeSet, replaced: Objects) -> None:
+        for key in replaced.keys.values():
+            self._digests.pop(key.digest_sha256, None)
         for name, key in change.upserts.keys.items():
             self._digests[key.digest_sha256] = name
-            self._key_digests[name] = key.digest_sha256
 
     def _index_routes(self, change: ChangeSet) -> None:
         touched = {*change.removals.routes, *change.upserts.routes}
@@ -138,24 +136,17 @@
                 for name, route in self.objects.routes.items()
             }
 
-    def _index_targets(self, change: ChangeSet) -> None:
+    def _index_targets(self, change: ChangeSet, replaced: Objects) -> None:
         if change.upserts.domains or change.removals.domains:
             self._service_pools.clear()
             self._pools.clear()
-        for name in change.removals.targets:
-            self._forget_target(name)
+        for name, target in replaced.targets.items():
+            self._targets[target.service].pop(name)
+            self._forget_pools(target.service)
         for name, target in change.upserts.targets.items():
-            self._forget_target(name)
             self._targets.setdefault(target.service, {})[name] = target
-            self._target_services[name] = target.service
             self._forget_pools(target.service)
 
-    def _forget_target(self, name: str) -> None:
-        service = self._target_services.pop(name, None)
-        if service is not None:
-            self._targets[service].pop(name)
-            self._forget_pools(service)
-
     def _forget_pools(self, service: str) -> None:
         for pool in self._service_pools.pop(service, ()):
             self._pools.pop(pool.pool_id, None)
--- a/foxtailreach/core/fold.py
+++ b/foxtailreach/core/fold.py
@@ -26,7 +26,7 @@
 
 MAX_OUTCOMES = 1000
 
-ChangeListener = Callable[[ChangeSet], None]
+ChangeListener = Callable[[Objects, ChangeSet, Objects], None]
 
 
 class Fold:
@@ -44,7 +44,11 @@
     )
 
     def __init__(self, listener: ChangeListener | None = None) -> None:
-        """Start empty; `listener` gets each accepted change set."""
+        """Start empty.
+
+        `listener` gets all objects, each accepted change set and the
+        objects that it replaced or removed.
+        """
         self.objects = Objects()
         self.version = 0
         self.next_offset = 0
@@ -141,13 +145,17 @@
         self._remember(ChangeOutcome(change.change_id, self.version, faults))
 
     def _merge(self, change: ChangeSet) -> None:
+        replaced = Objects()
         for kind in KINDS:
             entries = getattr(self.objects, kind)
-            for name in getattr(change.removals, kind):
-                entries.pop(name, None)
-            entries.update(getattr(change.upserts, kind))
+            former = getattr(replaced, kind)
+            upserts = getattr(change.upserts, kind)
+            for name in (*getattr(change.removals, kind), *upserts):
+                if name in entries:
+                    former[name] = entries.pop(name)
+            entries.update(upserts)
         if self._listener is not None:
-            self._listener(change)
+            self._listener(self.objects, change, replaced)
 
     def _replace_objects(self, objects: Objects) -> None:
         removals = {
--- a/foxtailreach/core/node.py
+++ b/foxtailreach/core/node.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from foxtailreach.config.objects import ChangeSet
 from foxtailreach.core import effects, events, messages
 from foxtailreach.core.catalog import Catalog
 from foxtailreach.core.crashes import CrashLedger
@@ -88,7 +87,7 @@
         self._config = config
         self._now_us = now_us
         self.catalog = Catalog()
-        self.fold = Fold(self._configuration_changed)
+        self.fold = Fold(self.catalog.apply)
         self.knowledge = Knowledge()
         self.crashes = CrashLedger()
         self.membership = Membership(
@@ -455,9 +454,6 @@
     def _apply_limits(self, step: Step, now_us: int) -> Effects:
         return [*step.effects, *self.entry.decide(step.decisions, now_us)]
 
-    def _configuration_changed(self, change: ChangeSet) -> None:
-        self.catalog.apply(self.fold.objects, change)
-
     def _locate_seat(self, seat: str) -> str:
         holder = self.fold.holders.get(seat)
         if holder is None or not holder.host_id:
--- a/foxtailreach/daemon/edge.py
+++ b/foxtailreach/daemon/edge.py
@@ -16,6 +16,7 @@
     TraceContextTextMapPropagator,
 )
 from tornado import httputil
+from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 
 from foxtailreach.config.defaults import LimitsSection
@@ -83,6 +84,7 @@
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
         """Begin one request."""
+        assert isinstance(request_conn, HTTP1Connection)
         request_id = f'{self._prefix}-{next(self._sequence):x}'
         return Exchange(request_id, request_conn, self._host)
 
@@ -93,7 +95,7 @@
     def __init__(
         self,
         request_id: str,
-        connection: httputil.HTTPConnection,
+        connection: HTTP1Connection,
         host: EdgeHost,
     ) -> None:
         """Wait for the request's headers."""
@@ -105,6 +107,7 @@
         self.answer = BodyPipe()
         self.is_over = False
         self._connection = connection
+        self._connection.set_close_callback(self.on_connection_close)
         self._host = host
         self._inline: list[bytes] = []
         self._received_bytes = 0
@@ -112,6 +115,7 @@
         self._head: RequestHead | None = None
         self._key = ''
         self._method = ''
+        self._must_close = False
         self._timeout_us: int | None = None
         self._idempotency_key = ''
         self._span: Span | None = None
@@ -139,9 +143,7 @@
         self._timeout_us = _timeout_us(headers)
         self._start_span(start_line, headers)
         self._head = self._request_head(start_line, headers)
-        if self._head.body_length > INLINE_BODY_BYTES or self._is_chunked(
-            headers,
-        ):
+        if not 0 <= self._head.body_length <= INLINE_BODY_BYTES:
             self.body = BodyPipe()
             self.body.on_drained = self._body_drained
             self._admit(self._head)
@@ -242,39 +244,35 @@
         headers: httputil.HTTPHeaders,
     ) -> tuple[int, str] | None:
         limits = self._host.limits
+        length = fields.body_length(headers)
+        if length is None:
+            return HTTPStatus.BAD_REQUEST, 'ambiguous-framing'
         if line.method not in _METHODS:
-            return 501, 'unknown-method'
+            return HTTPStatus.NOT_IMPLEMENTED, 'unknown-method'
         if fields.size_bytes(headers) > limits.max_header_bytes:
-            return 431, 'headers-too-long'
+            too_large = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            return too_large, 'headers-too-long'
         if fields.caller_key(headers) is None:
-            return 400, 'clashing-keys'
-        length = int(headers.get('Content-Length', '0') or 0)
+            return HTTPStatus.BAD_REQUEST, 'clashing-keys'
         if length > limits.max_body_bytes:
-            return 413, 'body-too-long'
-        has_body = length > 0 or self._is_chunked(headers)
-        if has_body and line.method in _BODILESS_METHODS:
-            return 400, 'unexpected-body'
+            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'body-too-long'
+        if length and line.method in _BODILESS_METHODS:
+            return HTTPStatus.BAD_REQUEST, 'unexpected-body'
         if not line.path.startswith('/'):
-            return 400, 'bad-path'
+            return HTTPStatus.BAD_REQUEST, 'bad-path'
         return None
 
-    def _is_chunked(self, headers: httputil.HTTPHeaders) -> bool:
-        return 'Transfer-Encoding' in headers
-
     def _request_head(
         self,
         line: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
     ) -> RequestHead:
-        body_length = int(headers.get('Content-Length', '0') or 0)
-        if self._is_chunked(headers):
-            body_length = -1
         return RequestHead(
             request_id=self.request_id,
             method=line.method,
             path=line.path,
             headers=self._forwarded_headers(headers),
-            body_length=body_length,
+            body_length=fields.body_length(headers) or 0,
         )
 
     def _forwarded_headers(
@@ -318,6 +316,8 @@
         )
 
     def _refuse_plainly(self, status: int, reason: str) -> None:
+        """Refuse a faulty head; nothing more is read from the connection."""
+        self._must_close = True
         self._refuse_with(status, Verdict.NOT_RUN, reason, 0)
 
     def _refuse_with(
@@ -364,6 +364,8 @@
             self._abandon()
         finally:
             self._end()
+        if self._must_close:
+            self._close()
 
     async def _write_all(
         self,
@@ -384,9 +386,7 @@
             self._host.post(CallerGone(self.request_id))
 
     def _close(self) -> None:
-        stream = getattr(self._connection, 'stream', None)
-        if stream is not None:
-            stream.close()
+        self._connection.close()
 
     def _end(self) -> None:
         if self.is_over:
--- a/foxtailreach/daemon/headers.py
+++ b/foxtailreach/daemon/headers.py
@@ -19,6 +19,7 @@
 TIMEOUT_HEADER = 'Foxtailreach-Timeout-Ms'
 KEY_HEADER = 'X-Api-Key'
 BEARER = 'bearer '
+CHUNKED = -1
 
 _HOP_BY_HOP = frozenset(
     (
@@ -72,6 +73,23 @@
     return tuple(_keep(headers.get_all(), dropped))
 
 
+def body_length(headers: HTTPHeaders) -> int | None:
+    """Return the length of a body: -1 if chunked, None if ambiguous.
+
+    Requests that two parsers could frame in different ways are ambiguous.
+    """
+    lengths = headers.get_list('Content-Length')
+    codings = headers.get_list('Transfer-Encoding')
+    if codings:
+        is_chunked = [coding.lower() for coding in codings] == ['chunked']
+        return CHUNKED if is_chunked and not lengths else None
+    if not lengths:
+        return 0
+    (length, *others) = lengths
+    is_number = length.isascii() and length.isdigit()
+    return int(length) if is_number and not others else None
+
+
 def size_bytes(headers: HTTPHeaders) -> int:
     """Return the size of all header fields as sent."""
     return sum(len(name) + len(text) for name, text in headers.get_all())
--- a/foxtailreach/daemon/upstream.py
+++ b/foxtailreach/daemon/upstream.py
@@ -7,7 +7,7 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders, parse_response_start_line
 from tornado.ioloop import IOLoop
 
@@ -26,6 +26,7 @@
 CONNECT_TIMEOUT_S = 0.4
 WHOLE_ANSWER_BYTES = 65536
 MAX_TRANSFERS = 256
+UNKNOWN_BYTES = -1
 MAX_IDLE_CONNECTIONS = 512
 _US_PER_S = 1_000_000
 _US_PER_MS = 1000
@@ -67,7 +68,8 @@
         curl_error: int | None = None,
         curl_message: str | None = None,
     ) -> None:
-        request = curl.info['request']
+        proxy = curl.info['request']
+        request = getattr(proxy, 'request', proxy)
         request.sent_bytes = curl.getinfo(pycurl.REQUEST_SIZE)
         super()._finish(curl, curl_error, curl_message)
 
@@ -121,13 +123,15 @@
     async def run(self) -> tuple[AttemptOutcome, bool]:
         """Send the request; return how it ended and if a byte was sent."""
         request = self._request()
-        response = await self._client.fetch(request, raise_error=False)
-        outcome = self._outcome(response)
-        sent_bytes = getattr(request, 'sent_bytes', 0)
-        if outcome is AttemptOutcome.CONNECT_FAILED:
-            sent_bytes = 0
+        outcome = AttemptOutcome.COMPLETE
+        was_sent = True
+        try:
+            await self._client.fetch(request, raise_error=False)
+        except CurlError as error:
+            was_sent = getattr(request, 'sent_bytes', UNKNOWN_BYTES) != 0
+            outcome = self._outcome(error.errno, was_sent=was_sent)
         self._deliver_end(outcome)
-        return outcome, sent_bytes > 0
+        return outcome, was_sent
 
     def relay(self) -> None:
         """Start to pass the answer on."""
@@ -274,20 +278,16 @@
             is_whole=is_whole,
         )
 
-    def _outcome(self, response: HTTPResponse) -> AttemptOutcome:
-        error = response.error
+    def _outcome(self, errno: int, *, was_sent: bool) -> AttemptOutcome:
         if self.is_cancelled:
             return AttemptOutcome.CANCELLED
-        if not isinstance(error, CurlError):
-            return AttemptOutcome.COMPLETE
-        sent_bytes = getattr(response.request, 'sent_bytes', 0)
-        if error.errno in _CONNECT_ERRORS or not sent_bytes:
+        if errno in _CONNECT_ERRORS or not was_sent:
             return AttemptOutcome.CONNECT_FAILED
         if self.head_seen:
             return AttemptOutcome.PARTIAL
-        if error.errno in _LOST_ERRORS:
+        if errno in _LOST_ERRORS:
             return AttemptOutcome.CONNECTION_LOST
-        if error.errno == pycurl.E_OPERATION_TIMEDOUT:
+        if errno == pycurl.E_OPERATION_TIMEDOUT:
             return AttemptOutcome.TIMEOUT
         return AttemptOutcome.PARTIAL
 
--- /dev/null
+++ b/foxtailreach/queries/benches.py
@@ -0,0 +1,45 @@
+"""Run the repeatable measurements and print them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import asdict
+
+from foxtailreach.bench.routing import RoutingRow, compare_routing
+from foxtailreach.bench.slopes import Slope, measure_slopes
+
+Write = Callable[[str], None]
+
+
+def print_routing(
+    deployment: str,
+    seed: int,
+    write: Write,
+    *,
+    as_json: bool,
+) -> None:
+    """Compare ways to choose a target, one line a measurement."""
+    for row in compare_routing(deployment, seed):
+        write(json.dumps(asdict(row)) if as_json else _routing_line(row))
+
+
+def print_slopes(write: Write) -> None:
+    """Print the slopes behind the capacity page."""
+    for slope in measure_slopes():
+        write(_slope_line(slope))
+
+
+def _routing_line(row: RoutingRow) -> str:
+    return (
+        f'{row.service:12} {row.load:4} {row.way:18} '
+        f'p50 {row.p50_ms:6.1f} ms  p99 {row.p99_ms:7.1f} ms  '
+        f'refused {row.refused_percent:5.2f}%  '
+        f'sheds {row.sheds_per_request:4.2f}  '
+        f'messages {row.messages_per_request:4.2f}  '
+        f'connections {row.connections}'
+    )
+
+
+def _slope_line(slope: Slope) -> str:
+    return f'{slope.subject}: {slope.figure}'
--- a/foxtailreach/tests/core/limit_machine_tests.py
+++ b/foxtailreach/tests/core/limit_machine_tests.py
@@ -102,8 +102,7 @@
         claims = (SeatEpoch(seat_key(self.group, seat), epoch),)
         self.log.append(encode_record(ClaimRecord(host_id, claims)))
         catalog = Catalog()
-        fold = Fold()
-        fold = Fold(lambda change: catalog.apply(fold.objects, change))
+        fold = Fold(catalog.apply)
         knowledge = Knowledge()
         holder = LimitHolder(host_id, fold, catalog, knowledge)
         if is_first:
