--- a/foxtailreach/bench/fleet.py
+++ b/foxtailreach/bench/fleet.py
@@ -423,9 +423,8 @@
                 self.now_us + LOG_DELAY_US,
                 lambda: self.post(host_id, event),
             )
-        factor = 1 if node.is_log_reader() else 10
         self.at(
-            self.now_us + factor * SECOND_US // 2,
+            self.now_us + node.poll_factor() * SECOND_US // 2,
             lambda: self._read_log(host_id),
         )
 
--- a/foxtailreach/bench/slopes.py
+++ b/foxtailreach/bench/slopes.py
@@ -36,10 +36,11 @@
     Target,
 )
 from foxtailreach.config.records import ChangeRecord, encode_record
-from foxtailreach.core import messages
+from foxtailreach.core import events, messages
 from foxtailreach.core.catalog import Catalog
 from foxtailreach.core.fold import Fold
 from foxtailreach.core.limits.bucket import Bucket
+from foxtailreach.core.node import Node, NodeConfig
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.rpc.codec import encode_frame
 
@@ -48,6 +49,7 @@
 PLANNED_TARGETS = 93_000
 PLANNED_SERVICES = 2_100
 PLANNED_DOMAINS = 15
+PLANNED_HOSTS = 4_100
 GOSSIP_SECONDS = 10
 FLEET_SIZES = (40, 120, 240)
 _BYTES_PER_MB = 1_000_000
@@ -67,6 +69,7 @@
     return [
         *measure_configuration(),
         *measure_gossip(),
+        measure_host_change(),
         measure_request(),
         measure_buckets(),
     ]
@@ -202,6 +205,36 @@
     )
 
 
+def measure_host_change() -> Slope:
+    """Measure what one host's death costs every other host."""
+    objects = planned_objects(1)
+    hosts = tuple(
+        messages.HostEntry(
+            f'h-{index}',
+            f'domain-{index % PLANNED_DOMAINS}',
+            '10.0.0.1',
+            9000,
+        )
+        for index in range(PLANNED_HOSTS)
+    )
+    node = Node.from_config(
+        NodeConfig('h-0', 'domain-0', 1),
+        random.Random(1),
+        now_us=0,
+    )
+    record = encode_record(ChangeRecord(ChangeSet('initial', 0, objects)))
+    log = events.LogRead((messages.LogRecord(0, record),), 0, 1)
+    node.handle(log, 0)
+    first_s = _seconds(partial(node.handle, events.HostsListed(hosts), 1))
+    rumor = messages.HostRumor('h-15', 0, messages.Liveness.DOWN)
+    received = events.PeerReceived('h-30', rumor)
+    change_s = _seconds(partial(node.handle, received, 2))
+    return Slope(
+        f'a host change at {PLANNED_HOSTS} hosts and all planned pools',
+        f'{change_s * _MS_PER_S:.0f} ms, first ranking {first_s:.1f} s',
+    )
+
+
 def _seconds(action: Callable[[], object]) -> float:
     gc.collect()
     started_s = time.process_time()
--- a/foxtailreach/core/limits/claims.py
+++ b/foxtailreach/core/limits/claims.py
@@ -42,11 +42,11 @@
 
     def tick(self, now_us: int, *, can_append: bool) -> Effects:
         """Append a claim for vacant seats, at most once per interval."""
-        self._track_gone(now_us)
-        if now_us < self._next_us or not can_append:
+        if now_us < self._next_us:
             return []
         self._next_us = now_us + CLAIM_INTERVAL_US
-        if self._membership.is_leaving:
+        self._track_gone(now_us)
+        if self._membership.is_leaving or not can_append:
             return []
         claims = tuple(self._due_claims(now_us))
         if not claims:
--- a/foxtailreach/core/limits/client.py
+++ b/foxtailreach/core/limits/client.py
@@ -22,6 +22,7 @@
 PREFETCH_US = 20 * MILLISECOND_US
 MAX_PREFETCH = 16
 RATE_WINDOW_US = 250 * MILLISECOND_US
+IDLE_US = 10 * SECOND_US
 
 
 class Admission(enum.Enum):
@@ -65,6 +66,7 @@
     pending_seat: int = 0
     pending_since_us: int = 0
     arrivals: int = 0
+    used_us: int = 0
     window_started_us: int = 0
     rate_per_s: float = 0
 
@@ -81,7 +83,14 @@
 class LimitClient:
     """Obtains tokens from holders and spends them on requests."""
 
-    __slots__ = ('_accounts', '_locate', '_order', '_sequence')
+    __slots__ = (
+        '_accounts',
+        '_busy',
+        '_locate',
+        '_next_eviction_us',
+        '_order',
+        '_sequence',
+    )
 
     def __init__(self, locate: Locate, order: Order, sequence: int) -> None:
         """Create a client.
@@ -93,6 +102,8 @@
         self._order = order
         self._sequence = sequence
         self._accounts: dict[str, Account] = {}
+        self._busy: dict[str, Account] = {}
+        self._next_eviction_us = 0
 
     def spend(self, customer: str, request_id: str, now_us: int) -> Step:
         """Spend a token, or wait for one."""
@@ -142,14 +153,25 @@
     def tick(self, now_us: int) -> Step:
         """Time out lost requests and return tokens about to expire."""
         step = Step([], [])
-        for account in self._accounts.values():
-            if account.is_pending:
-                waited_us = now_us - account.pending_since_us
-                if waited_us >= REQUEST_TIMEOUT_US:
-                    step.extend(self._give_up_seat(account, now_us))
+        for account in list(self._busy.values()):
+            waited_us = now_us - account.pending_since_us
+            if account.is_pending and waited_us >= REQUEST_TIMEOUT_US:
+                step.extend(self._give_up_seat(account, now_us))
             step.effects.extend(self._return_unused(account, now_us))
+            if not account.is_pending and not account.purses:
+                self._busy.pop(account.customer)
+        if now_us >= self._next_eviction_us:
+            self._next_eviction_us = now_us + IDLE_US
+            self._evict_idle(now_us)
         return step
 
+    def _evict_idle(self, now_us: int) -> None:
+        self._accounts = {
+            customer: account
+            for customer, account in self._accounts.items()
+            if customer in self._busy or now_us - account.used_us < IDLE_US
+        }
+
     def _account(self, customer: str) -> Account:
         account = self._accounts.get(customer)
         if account is None:
@@ -197,6 +219,7 @@
         now_us: int,
     ) -> effects.Effect:
         self._sequence += 1
+        self._busy[account.customer] = account
         account.pending_sequence = self._sequence
         account.pending_seat = seat
         account.pending_since_us = now_us
@@ -293,6 +316,7 @@
 
 def _record_arrival(account: Account, now_us: int) -> None:
     account.arrivals += 1
+    account.used_us = now_us
     elapsed_us = now_us - account.window_started_us
     if elapsed_us >= RATE_WINDOW_US:
         account.rate_per_s = account.arrivals * SECOND_US / elapsed_us
--- a/foxtailreach/core/node.py
+++ b/foxtailreach/core/node.py
@@ -37,6 +37,8 @@
 SEQUENCE_BITS = 40
 READERS_PER_DOMAIN = 2
 READER_ROLE = 'log-reader'
+MIN_FOLLOWER_FACTOR = 10
+HOSTS_PER_FOLLOWER_FACTOR = 10
 
 Effects = list[effects.Effect]
 
@@ -174,11 +176,18 @@
             return None
         return state.entry.address, state.entry.peer_port
 
-    def is_log_reader(self) -> bool:
-        """Whether this host reads the log often, on behalf of its domain."""
+    def poll_factor(self) -> int:
+        """Return how much longer than a log reader this host may wait.
+
+        A few readers per failure domain read the log for the others, whose
+        own reads are a backstop and grow rarer with the fleet.
+        """
         hosts = self.membership.usable_hosts(self._config.domain)
         readers = rank_candidates(hosts, READER_ROLE)[:READERS_PER_DOMAIN]
-        return not readers or self._config.host_id in readers
+        if not readers or self._config.host_id in readers:
+            return 1
+        fleet = len(self.membership.hosts)
+        return max(MIN_FOLLOWER_FACTOR, fleet // HOSTS_PER_FOLLOWER_FACTOR)
 
     def _decide(self, event: events.Event, now_us: int) -> Effects:
         match event:
--- a/foxtailreach/daemon/host.py
+++ b/foxtailreach/daemon/host.py
@@ -43,7 +43,6 @@
 APPEND_INTERVAL_S = 0.25
 APPEND_TRIES = 5
 MAX_QUEUED_APPENDS = 16
-FOLLOWER_POLL_FACTOR = 10
 HOSTS_POLL_FACTOR = 2
 STOP_POLL_S = 0.02
 CLOSE_DELAY_S = 0.2
@@ -255,8 +254,7 @@
             self.post(event)
             if isinstance(event, events.LogRead) and event.records:
                 continue
-            factor = 1 if self.node.is_log_reader() else FOLLOWER_POLL_FACTOR
-            await asyncio.sleep(interval_s * factor)
+            await asyncio.sleep(interval_s * self.node.poll_factor())
 
     async def _read_page(self) -> events.LogRead | events.LogFailed:
         try:
--- a/foxtailreach/demo/run.py
+++ b/foxtailreach/demo/run.py
@@ -69,7 +69,8 @@
         self._load = Load(self._ports, self._rng)
         self._outcomes: list[Outcome] = []
         self._customers = list(self._world.objects.customers)
-        self._services = tuple(self._world.objects.services)
+        busiest, *others = self._world.objects.services
+        self._services = (busiest, busiest, busiest, *others)
         self._ejected: set[str] = set()
         self._sick: set[str] = set()
 
