Write whole answers at once and skip unsampled attempt spans

Cause: 1.7-1.8 ms of CPU a request at 390 requests/s on one host; p99 17-30 ms against 3-4 ms direct, which is queueing in a process at 0.7 of a core. Change: no writer task for a whole answer, no dispatch without a queue, no second span for a trace that is not sampled.

--- a/foxtailreach/core/pool/owner.py
+++ b/foxtailreach/core/pool/owner.py
@@ -22,7 +22,6 @@
 from foxtailreach.core.verdict import Reason, Verdict, may_resend
 
 SERVER_ERROR = 500
-LONG_SHARE = 0.5
 MAX_SKIPPED_JOBS = 8
 
 Effects = list[effects.Effect]
@@ -299,7 +298,7 @@
     def _dispatch(self, now_us: int) -> Effects:
         step: Effects = []
         self.is_active = now_us >= self.activates_at_us
-        if not self.is_active or self.is_suspended:
+        if not self.is_active or self.is_suspended or not self.queued:
             return step
         skipped: list[Job] = []
         while len(skipped) < MAX_SKIPPED_JOBS:
@@ -319,12 +318,11 @@
         if self.free_slots <= 0:
             return None
         short, long = self._queues['short'], self._queues['long']
-        long_cap = max(1, int(self.slots * LONG_SHARE))
-        if len(long) and (not len(short) or self._long_in_flight < long_cap):
-            is_long_turn = self._long_in_flight == 0 or not len(short)
-            if is_long_turn:
-                return long.pop()
-        return short.pop() or long.pop()
+        if not len(long):
+            return short.pop()
+        if not len(short) or not self._long_in_flight:
+            return long.pop()
+        return short.pop()
 
     def _pick_target(self, job: Job, now_us: int) -> TargetState | None:
         candidates = [
--- a/foxtailreach/daemon/edge.py
+++ b/foxtailreach/daemon/edge.py
@@ -205,8 +205,11 @@
             answer.status,
             answer.phrase,
         )
+        if answer.is_whole:
+            self._write_whole(line, headers, answer.body)
+            return
         self.answer.on_drained = self._answer_drained
-        self.answer.feed(answer.body, is_last=answer.is_whole)
+        self.answer.feed(answer.body)
         self._writer = asyncio.ensure_future(self._write(line, headers))
 
     def chunk(self, body: bytes, *, is_last: bool) -> None:
@@ -348,10 +351,20 @@
             headers['WWW-Authenticate'] = 'Bearer'
         phrase = HTTPStatus(status).phrase
         line = httputil.ResponseStartLine('HTTP/1.1', status, phrase)
-        if self._method != 'HEAD':
-            self.answer.feed(body)
-        self.answer.feed(b'', is_last=True)
-        self._writer = asyncio.ensure_future(self._write(line, headers))
+        self._write_whole(line, headers, body)
+
+    def _write_whole(
+        self,
+        line: httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        chunk = None if self._method == 'HEAD' else body or None
+        self._connection.write_headers(line, headers, chunk)
+        self._connection.finish()
+        self._end()
+        if self._must_close:
+            self._close()
 
     async def _write(
         self,
@@ -364,8 +377,6 @@
             self._abandon()
         finally:
             self._end()
-        if self._must_close:
-            self._close()
 
     async def _write_all(
         self,
--- a/foxtailreach/daemon/host.py
+++ b/foxtailreach/daemon/host.py
@@ -46,6 +46,7 @@
 HOSTS_POLL_FACTOR = 2
 STOP_POLL_S = 0.02
 CLOSE_DELAY_S = 0.2
+UNSAMPLED = '-00'
 _US_PER_S = 1_000_000
 _MS_PER_S = 1000
 _PROPAGATOR = TraceContextTextMapPropagator()
@@ -339,16 +340,17 @@
         carrier = {
             header.name.lower(): header.value for header in start.head.headers
         }
-        span = self.tracer.start_span(
-            f'attempt {start.target}',
-            context=_PROPAGATOR.extract(carrier),
-            attributes={'request.id': hop_id},
-        )
-        try:
+        is_sampled = not carrier.get('traceparent', '').endswith(UNSAMPLED)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.transfers.close_sink, hop_id)
+            if is_sampled:
+                span = self.tracer.start_span(
+                    f'attempt {start.target}',
+                    context=_PROPAGATOR.extract(carrier),
+                    attributes={'request.id': hop_id},
+                )
+                stack.callback(span.end)
             await self.upstream.run(start, body, sink)
-        finally:
-            span.end()
-            self.transfers.close_sink(hop_id)
 
     def _frame_received(self, sender: str, frame: Frame) -> None:
         if isinstance(frame, messages.Handoff):
