--- a/foxtailreach/__main__.py
+++ b/foxtailreach/__main__.py
@@ -154,6 +154,14 @@
     print_routing(deployment.value, seed, typer.echo, as_json=as_json)
 
 
+@app.command('bench-latency')
+def bench_latency(seed: int = 1) -> None:
+    """Measure added latency with real processes on loopback."""
+    from foxtailreach.queries.benches import print_latency
+
+    print_latency(seed, typer.echo)
+
+
 @app.command()
 def slopes() -> None:
     """Measure the slopes behind the capacity page."""
--- /dev/null
+++ b/foxtailreach/bench/latency.py
@@ -0,0 +1,243 @@
+"""Measures added latency with real processes on loopback.
+
+Hosts, the platform's stand-in and targets run as processes of their own, the
+load in this one. Requests go directly to the targets, then through one host,
+then through three hosts, in one run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
+from foxtailreach.bench.statistics import quantile
+from foxtailreach.commands.publish import publish_files
+from foxtailreach.daemon.platform import PlatformAddress
+from foxtailreach.demo.world import LOOPBACK, free_ports
+
+TARGETS = 4
+SLOTS = 64
+SERVICE_MS = 0.01
+START_S = 1.5
+SETTLE_S = 6
+WARM_UP_S = 2
+DURATION_S = 8
+RATE_PER_HOST = 390
+HOST_COUNTS = (1, 3)
+PORTS_PER_HOST = 3
+KEY = 'bench-key'
+MAX_CLIENTS = 400
+_OK = 200
+_MS_PER_S = 1000
+_TICKS_PER_S = 100
+_USER_TICKS = 13
+_SYSTEM_TICKS = 14
+
+OBJECTS = """
+[domains.d]
+[services.s]
+warm_up_ms = 0
+cold_slots = {slots}
+[routes.r]
+service = "s"
+path_prefix = "/"
+[limits.l]
+rate_per_s = 1000000
+burst_requests = 1000000
+[customers.c]
+limit = "l"
+[keys.k]
+customer = "c"
+digest_sha256 = "{digest}"
+"""
+TARGET = """
+[targets.t-{port}]
+service = "s"
+domain = "d"
+address = "127.0.0.1"
+port = {port}
+slots = {slots}
+"""
+SETTINGS = """
+[host]
+host_id = "h-{caller}"
+domain = "d"
+address = "127.0.0.1"
+caller_port = {caller}
+peer_port = {peer}
+admin_port = {admin}
+[platform]
+address = "127.0.0.1"
+port = {platform}
+[log]
+level = "ERROR"
+"""
+
+
+@dataclass(slots=True, frozen=True)
+class LatencyRow:
+    """Latency of one way, and the hosts' processor time for it."""
+
+    way: str
+    rate_per_s: int
+    p50_ms: float
+    p99_ms: float
+    failed: int
+    host_cpu_ms_per_request: float
+
+
+def measure_latency(seed: int) -> Iterator[LatencyRow]:
+    """Measure the direct way and each number of hosts."""
+    with contextlib.ExitStack() as stack:
+        ports = free_ports(TARGETS)
+        for port in ports:
+            options = (f'--slots={SLOTS}', f'--service-ms={SERVICE_MS}')
+            _start(stack, 'foxtailreach.testing', 'target', f'{port}', *options)
+        time.sleep(START_S)
+        yield _measure('direct', ports, RATE_PER_HOST, (), seed)
+        for count in HOST_COUNTS:
+            with contextlib.ExitStack() as fleet:
+                callers, pids = _start_fleet(fleet, count, ports)
+                rate = RATE_PER_HOST * count
+                way = f'{count} hosts'
+                yield _measure(way, callers, rate, pids, seed)
+
+
+def _start_fleet(
+    stack: contextlib.ExitStack,
+    count: int,
+    target_ports: Sequence[int],
+) -> tuple[list[int], list[int]]:
+    folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+    (platform,) = free_ports(1)
+    _start(stack, 'foxtailreach.testing', 'platform', f'{platform}')
+    time.sleep(START_S)
+    objects = folder / 'objects.toml'
+    objects.write_text(_objects(target_ports), encoding='utf-8')
+    address = PlatformAddress(LOOPBACK, platform, _MS_PER_S)
+    publish_files(address, [objects])
+    callers, pids = [], []
+    for _ in range(count):
+        caller, pid = _start_host(stack, folder, platform)
+        callers.append(caller)
+        pids.append(pid)
+    time.sleep(SETTLE_S)
+    return callers, pids
+
+
+def _objects(target_ports: Sequence[int]) -> str:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    parts = [OBJECTS.format(digest=digest, slots=SLOTS)]
+    parts.extend(TARGET.format(port=port, slots=SLOTS) for port in target_ports)
+    return ''.join(parts)
+
+
+def _start_host(
+    stack: contextlib.ExitStack,
+    folder: Path,
+    platform: int,
+) -> tuple[int, int]:
+    caller, peer, admin = free_ports(PORTS_PER_HOST)
+    path = folder / f'{caller}.toml'
+    text = SETTINGS.format(
+        caller=caller,
+        peer=peer,
+        admin=admin,
+        platform=platform,
+    )
+    path.write_text(text, encoding='utf-8')
+    asyncio.run(_list_host(platform, f'h-{caller}', peer))
+    pid = _start(stack, 'foxtailreach', 'serve', '--settings', f'{path}')
+    return caller, pid
+
+
+def _start(stack: contextlib.ExitStack, *arguments: str) -> int:
+    process = subprocess.Popen((sys.executable, '-m', *arguments))
+    stack.callback(process.wait)
+    stack.callback(process.kill)
+    return process.pid
+
+
+async def _list_host(platform: int, host_id: str, peer_port: int) -> None:
+    entry = {
+        'host_id': host_id,
+        'domain': 'd',
+        'address': LOOPBACK,
+        'peer_port': peer_port,
+    }
+    with contextlib.closing(CurlAsyncHTTPClient(force_instance=True)) as client:
+        url = f'http://{LOOPBACK}:{platform}/hosts/{host_id}'
+        await client.fetch(url, method='PUT', body=json.dumps(entry))
+
+
+def _measure(
+    way: str,
+    ports: Sequence[int],
+    rate_per_s: int,
+    pids: Sequence[int],
+    seed: int,
+) -> LatencyRow:
+    before_s = sum(_cpu_s(pid) for pid in pids)
+    latencies_s, failed, sent = asyncio.run(_offer(ports, rate_per_s, seed))
+    used_s = sum(_cpu_s(pid) for pid in pids) - before_s
+    return LatencyRow(
+        way=way,
+        rate_per_s=rate_per_s,
+        p50_ms=quantile(latencies_s, 0.5) * _MS_PER_S,
+        p99_ms=quantile(latencies_s, 0.99) * _MS_PER_S,
+        failed=failed,
+        host_cpu_ms_per_request=used_s / sent * _MS_PER_S,
+    )
+
+
+async def _offer(
+    ports: Sequence[int],
+    rate_per_s: int,
+    seed: int,
+) -> tuple[list[float], int, int]:
+    rng = random.Random(seed)
+    latencies_s: list[float] = []
+    statuses: list[int] = []
+    started_s = time.monotonic()
+    client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    async def send(port: int) -> None:
+        sent_s = time.monotonic()
+        request = HTTPRequest(
+            f'http://{LOOPBACK}:{port}/item',
+            headers={'X-Api-Key': KEY},
+        )
+        response = await client.fetch(request, raise_error=False)
+        statuses.append(response.code)
+        if sent_s > started_s + WARM_UP_S:
+            latencies_s.append(time.monotonic() - sent_s)
+
+    due_s = started_s
+    with contextlib.closing(client):
+        async with asyncio.TaskGroup() as group:
+            while due_s < started_s + DURATION_S:
+                await asyncio.sleep(max(0, due_s - time.monotonic()))
+                group.create_task(send(rng.choice(ports)))
+                due_s += rng.expovariate(rate_per_s)
+    failed = sum(status != _OK for status in statuses)
+    return latencies_s, failed, len(statuses)
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f'/proc/{pid}/stat').read_text(encoding='ascii').split()
+    return (
+        int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    ) / _TICKS_PER_S
--- a/foxtailreach/core/catalog.py
+++ b/foxtailreach/core/catalog.py
@@ -19,7 +19,7 @@
 )
 from foxtailreach.core.ranking import rendezvous_score
 
-MAX_POOL_TARGETS = 16
+MAX_POOL_SLOTS = 16
 
 
 @dataclass(slots=True, frozen=True)
@@ -177,7 +177,8 @@
     domain: str,
     targets: dict[str, Target],
 ) -> list[Pool]:
-    shards = math.ceil(len(targets) / MAX_POOL_TARGETS)
+    slots = sum(target.slots for target in targets.values())
+    shards = math.ceil(slots / MAX_POOL_SLOTS)
     members: list[dict[str, Target]] = [{} for _ in range(shards)]
     for name, target in sorted(targets.items()):
         shard = rendezvous_score(name, service) % shards
--- a/foxtailreach/core/entry.py
+++ b/foxtailreach/core/entry.py
@@ -243,6 +243,8 @@
     ) -> Reason | None:
         if self.is_stopping:
             return Reason.STOPPING
+        if not self._catalog.objects.routes:
+            return Reason.NO_CONFIGURATION
         if route is None:
             return Reason.NO_ROUTE
         if self._crashes.is_quarantined(request.fingerprint):
--- a/foxtailreach/core/verdict.py
+++ b/foxtailreach/core/verdict.py
@@ -20,6 +20,7 @@
     NO_KEY = 'no-key'
     UNKNOWN_KEY = 'unknown-key'
     KEYS_UNCERTAIN = 'keys-uncertain'
+    NO_CONFIGURATION = 'no-configuration'
     NO_ROUTE = 'no-route'
     OVER_LIMIT = 'over-limit'
     LIMIT_UNAVAILABLE = 'limit-unavailable'
--- a/foxtailreach/daemon/host.py
+++ b/foxtailreach/daemon/host.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import gc
 import json
 import random
 import signal
@@ -254,6 +255,8 @@
                 logger.warning('the platform {}', state)
             self.post(event)
             if isinstance(event, events.LogRead) and event.records:
+                gc.collect()
+                gc.freeze()
                 continue
             await asyncio.sleep(interval_s * self.node.poll_factor())
 
--- a/foxtailreach/queries/benches.py
+++ b/foxtailreach/queries/benches.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import asdict
 
+from foxtailreach.bench.latency import measure_latency
 from foxtailreach.bench.routing import RoutingRow, compare_routing
 from foxtailreach.bench.slopes import Slope, measure_slopes
 
@@ -24,6 +25,16 @@
         write(json.dumps(asdict(row)) if as_json else _routing_line(row))
 
 
+def print_latency(seed: int, write: Write) -> None:
+    """Measure the direct way and the way through hosts."""
+    for row in measure_latency(seed):
+        write(
+            f'{row.way:8} {row.rate_per_s:5}/s  p50 {row.p50_ms:6.1f} ms  '
+            f'p99 {row.p99_ms:6.1f} ms  failed {row.failed}  '
+            f'host CPU {row.host_cpu_ms_per_request:.2f} ms a request',
+        )
+
+
 def print_slopes(write: Write) -> None:
     """Print the slopes behind the capacity page."""
     for slope in measure_slopes():
