--- a/foxtailreach/bench/latency.py
+++ b/foxtailreach/bench/latency.py
@@ -1,8 +1,8 @@
 """Measures added latency with real processes on loopback.
 
-Hosts, the platform's stand-in and targets run as processes of their own, the
-load in this one. Requests go directly to the targets, then through one host,
-then through three hosts, in one run.
+Hosts, the platform's stand-in, targets and loads run as processes of their
+own. Requests go directly to a target, then through one host, then through
+three hosts, in one run.
 """
 
 from __future__ import annotations
@@ -11,12 +11,14 @@
 import contextlib
 import hashlib
 import json
+import multiprocessing
 import random
 import subprocess
 import sys
 import tempfile
 import time
 from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -99,6 +101,15 @@
     host_cpu_ms_per_request: float
 
 
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What one load process saw."""
+
+    latencies_s: list[float]
+    failed: int
+    sent: int
+
+
 def measure_latency(seed: int) -> Iterator[LatencyRow]:
     """Measure the direct way and each number of hosts."""
     with contextlib.ExitStack() as stack:
@@ -107,13 +118,11 @@
             options = (f'--slots={SLOTS}', f'--service-ms={SERVICE_MS}')
             _start(stack, 'foxtailreach.testing', 'target', f'{port}', *options)
         time.sleep(START_S)
-        yield _measure('direct', ports, RATE_PER_HOST, (), seed)
+        yield _measure('direct', ports[:1], (), seed)
         for count in HOST_COUNTS:
             with contextlib.ExitStack() as fleet:
                 callers, pids = _start_fleet(fleet, count, ports)
-                rate = RATE_PER_HOST * count
-                way = f'{count} hosts'
-                yield _measure(way, callers, rate, pids, seed)
+                yield _measure(f'{count} hosts', callers, pids, seed)
 
 
 def _start_fleet(
@@ -186,35 +195,41 @@
 def _measure(
     way: str,
     ports: Sequence[int],
-    rate_per_s: int,
     pids: Sequence[int],
     seed: int,
 ) -> LatencyRow:
-    before_s = sum(_cpu_s(pid) for pid in pids)
-    latencies_s, failed, sent = asyncio.run(_offer(ports, rate_per_s, seed))
-    used_s = sum(_cpu_s(pid) for pid in pids) - before_s
+    """Offer the rate of one host to each port, each from its own process."""
+    before_s = sum(map(_cpu_s, pids))
+    context = multiprocessing.get_context('spawn')
+    with ProcessPoolExecutor(len(ports), context) as pool:
+        seeds = range(seed, seed + len(ports))
+        loads = list(pool.map(_offer_to, ports, seeds))
+    used_s = sum(map(_cpu_s, pids)) - before_s
+    latencies_s = [one for load in loads for one in load.latencies_s]
     return LatencyRow(
         way=way,
-        rate_per_s=rate_per_s,
+        rate_per_s=RATE_PER_HOST * len(ports),
         p50_ms=quantile(latencies_s, 0.5) * _MS_PER_S,
         p99_ms=quantile(latencies_s, 0.99) * _MS_PER_S,
-        failed=failed,
-        host_cpu_ms_per_request=used_s / sent * _MS_PER_S,
+        failed=sum(load.failed for load in loads),
+        host_cpu_ms_per_request=used_s
+        / sum(load.sent for load in loads)
+        * _MS_PER_S,
     )
 
 
-async def _offer(
-    ports: Sequence[int],
-    rate_per_s: int,
-    seed: int,
-) -> tuple[list[float], int, int]:
+def _offer_to(port: int, seed: int) -> Load:
+    return asyncio.run(_offer(port, seed))
+
+
+async def _offer(port: int, seed: int) -> Load:
     rng = random.Random(seed)
     latencies_s: list[float] = []
     statuses: list[int] = []
     started_s = time.monotonic()
     client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
 
-    async def send(port: int) -> None:
+    async def send() -> None:
         sent_s = time.monotonic()
         request = HTTPRequest(
             f'http://{LOOPBACK}:{port}/item',
@@ -230,10 +245,10 @@
         async with asyncio.TaskGroup() as group:
             while due_s < started_s + DURATION_S:
                 await asyncio.sleep(max(0, due_s - time.monotonic()))
-                group.create_task(send(rng.choice(ports)))
-                due_s += rng.expovariate(rate_per_s)
+                group.create_task(send())
+                due_s += rng.expovariate(RATE_PER_HOST)
     failed = sum(status != _OK for status in statuses)
-    return latencies_s, failed, len(statuses)
+    return Load(latencies_s, failed, len(statuses))
 
 
 def _cpu_s(pid: int) -> float:
