Send the frames of one loop iteration in one write; report two pools at most

Cause: a handoff carried the loads of all other pools of its service, and an answer and its result were two writes.

--- a/foxtailreach/core/loads.py
+++ b/foxtailreach/core/loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -16,6 +17,8 @@
 FRESH_LOAD_US = 50 * MILLISECOND_US
 STALE_LOAD_US = 2_000 * MILLISECOND_US
 UTILIZATION_COST = 0.25
+MAX_REPORTS = 2
+MAX_CANDIDATES = 8
 
 
 @dataclass(slots=True)
@@ -87,7 +90,8 @@
         candidates = [pool for pool in pools if pool.pool_id not in excluded]
         if not candidates:
             return None
-        self._rng.shuffle(candidates)
+        count = min(len(candidates), MAX_CANDIDATES)
+        candidates = self._rng.sample(candidates, count)
         return min(candidates, key=lambda pool: self.cost_us(pool, now_us))
 
     def cost_us(self, pool: Pool, now_us: int) -> float:
@@ -122,16 +126,16 @@
         pools: Iterable[Pool],
         now_us: int,
     ) -> tuple[PoolLoad, ...]:
-        """Return the fresh part of the view, to travel with a request."""
+        """Return the freest pools of late, to travel with a request."""
         reports = []
         for pool in pools:
             estimate = self._estimates.get(pool.pool_id)
             if estimate is None:
                 continue
             age_us = now_us - estimate.observed_us
-            if age_us <= FRESH_LOAD_US:
+            if age_us <= FRESH_LOAD_US and estimate.slots > estimate.busy:
                 reports.append(_report(pool.pool_id, estimate, age_us))
-        return tuple(reports)
+        return tuple(heapq.nlargest(MAX_REPORTS, reports, key=_free_slots))
 
     def _estimate(self, pool: Pool, now_us: int) -> PoolEstimate:
         known = self._estimates.get(pool.pool_id)
@@ -148,6 +152,10 @@
         return fresh
 
 
+def _free_slots(load: PoolLoad) -> int:
+    return load.slots - load.busy - load.queued
+
+
 def _report(pool_id: str, estimate: PoolEstimate, age_us: int) -> PoolLoad:
     return PoolLoad(
         pool_id=pool_id,
--- a/foxtailreach/daemon/links.py
+++ b/foxtailreach/daemon/links.py
@@ -51,6 +51,7 @@
         self._links: dict[str, Link] = {}
         self._client = TCPClient()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._unsent: dict[IOStream, list[bytes]] = {}
         self.sent_bytes = 0
         self.received_bytes = 0
         self.is_closed = False
@@ -145,8 +146,18 @@
         return host_id
 
     def _write(self, stream: IOStream, frame: Frame) -> None:
+        """Collect the frames of one loop iteration into one write."""
         payload = encode_frame(frame)
         self.sent_bytes += len(payload)
+        unsent = self._unsent.get(stream)
+        if unsent is None:
+            self._unsent[stream] = [payload]
+            asyncio.get_running_loop().call_soon(self._flush, stream)
+        else:
+            unsent.append(payload)
+
+    def _flush(self, stream: IOStream) -> None:
+        payload = b''.join(self._unsent.pop(stream))
         with contextlib.suppress(StreamClosedError):
             future = stream.write(payload)
             future.add_done_callback(_retrieve)
