--- a/foxtailreach/core/crashes.py
+++ b/foxtailreach/core/crashes.py
@@ -33,6 +33,27 @@
             self._forget(rumor.fingerprint)
         return True
 
+    def report_lost(
+        self,
+        fingerprint: int,
+        target: str,
+        report_id: str,
+        now_us: int,
+    ) -> CrashRumor:
+        """Note a lost target; return the report for the other hosts."""
+        report = CrashRumor(fingerprint, target, report_id)
+        self.absorb(report, now_us)
+        return report
+
+    def withdraw(
+        self,
+        fingerprint: int,
+        report_id: str,
+        now_us: int,
+    ) -> CrashRumor:
+        """Note that the request was answered; return the report of it."""
+        return self.report_lost(fingerprint, '', report_id, now_us)
+
     def is_suspect(self, fingerprint: int) -> bool:
         """Whether any target was lost to this fingerprint."""
         return fingerprint in self._lost
--- a/foxtailreach/core/limits/client.py
+++ b/foxtailreach/core/limits/client.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from foxtailreach.core import effects, messages
-from foxtailreach.core.limits.seats import SEATS, group_of, seat_key
+from foxtailreach.core.limits.seats import group_of, seat_key
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
 REQUEST_TIMEOUT_US = 150 * MILLISECOND_US
@@ -271,15 +271,6 @@
         self.effects.extend(other.effects)
 
 
-def nearest_first(own_seat: int | None) -> tuple[int, ...]:
-    """Order seats so that the one in the host's own domain comes first."""
-    seats = list(range(SEATS))
-    if own_seat is not None:
-        seats.remove(own_seat)
-        seats.insert(0, own_seat)
-    return tuple(seats)
-
-
 def _take_token(account: Account, now_us: int) -> bool:
     while account.purses:
         purse = account.purses[0]
--- a/foxtailreach/core/node.py
+++ b/foxtailreach/core/node.py
@@ -19,13 +19,13 @@
 from foxtailreach.core.fold import Fold
 from foxtailreach.core.knowledge import CURRENT_US, Knowledge
 from foxtailreach.core.limits.claims import SeatClaims
-from foxtailreach.core.limits.client import LimitClient, Step, nearest_first
+from foxtailreach.core.limits.client import LimitClient, Step
 from foxtailreach.core.limits.holder import LimitHolder
-from foxtailreach.core.limits.seats import SEATS, domain_of_seat, seat_key
+from foxtailreach.core.limits.seating import Seating
 from foxtailreach.core.loads import LoadView
 from foxtailreach.core.membership import Membership
 from foxtailreach.core.ownership import Ownership
-from foxtailreach.core.ranking import rank_candidates, top_candidate
+from foxtailreach.core.ranking import rank_candidates
 from foxtailreach.core.relay import LogRelay
 from foxtailreach.core.rumors import RumorMill
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
@@ -33,7 +33,6 @@
 
 TICK_INTERVAL_US = 20 * MILLISECOND_US
 EXPIRY_INTERVAL_US = 10 * SECOND_US
-SNAPSHOT_EVERY_RECORDS = 500
 SEQUENCE_BITS = 40
 READERS_PER_DOMAIN = 2
 READER_ROLE = 'log-reader'
@@ -108,9 +107,10 @@
             self.knowledge,
         )
         self._claims = SeatClaims(self.fold, self.membership, self.holder)
+        seating = Seating(config.domain, self.fold, self.membership)
         self._limits = LimitClient(
-            self._locate_seat,
-            self._order_seats,
+            seating.locate,
+            seating.order,
             rng.getrandbits(SEQUENCE_BITS),
         )
         self.ownership = Ownership(
@@ -423,7 +423,7 @@
         step.extend(self.ownership.tick(now_us, is_connected=is_connected))
         can_append = 0 <= self.knowledge.age_us(now_us) < CURRENT_US
         step.extend(self._claims.tick(now_us, can_append=can_append))
-        step.extend(self._snapshot_if_due(can_append=can_append))
+        step.extend(self._relay.snapshot_if_due(can_append=can_append))
         if now_us >= self._next_expiry_us:
             self._next_expiry_us = now_us + EXPIRY_INTERVAL_US
             self.crashes.expire(now_us)
@@ -431,17 +431,6 @@
         step.extend(self._stopped_if_idle())
         return step
 
-    def _snapshot_if_due(self, *, can_append: bool) -> Effects:
-        behind = self.fold.next_offset - self.fold.snapshot_offset
-        if not can_append or behind < SNAPSHOT_EVERY_RECORDS:
-            return []
-        hosts = self.membership.usable_hosts()
-        turn = str(self.fold.next_offset // SNAPSHOT_EVERY_RECORDS)
-        if top_candidate(hosts, turn) != self._config.host_id:
-            return []
-        self.fold.snapshot_offset = self.fold.next_offset
-        return [effects.Append(self.fold.encoded_snapshot())]
-
     def _stopped_if_idle(self) -> Effects:
         if not self.is_stopping or self._is_stopped:
             return []
@@ -463,25 +452,6 @@
     def _apply_limits(self, step: Step, now_us: int) -> Effects:
         return [*step.effects, *self.entry.decide(step.decisions, now_us)]
 
-    def _locate_seat(self, seat: str) -> str:
-        holder = self.fold.holders.get(seat)
-        if holder is None or not holder.host_id:
-            return ''
-        if holder.host_id == self._config.host_id:
-            return holder.host_id
-        state = self.membership.hosts.get(holder.host_id)
-        if state is None or state.liveness is messages.Liveness.DOWN:
-            return ''
-        return holder.host_id
-
-    def _order_seats(self, group: int) -> tuple[int, ...]:
-        domains = sorted(self.fold.objects.domains)
-        for seat in range(SEATS):
-            domain = domain_of_seat(seat_key(group, seat), domains)
-            if domain == self._config.domain:
-                return nearest_first(seat)
-        return nearest_first(None)
-
 
 def _undelivered(origin: str, request_id: str) -> effects.Effect:
     result = messages.HandoffResult(
--- a/foxtailreach/core/pool/attempts.py
+++ b/foxtailreach/core/pool/attempts.py
@@ -35,6 +35,11 @@
         """Whether its latency depends on the target alone."""
         return not self.job.handoff.head.is_streamed
 
+    @property
+    def report_id(self) -> str:
+        """Identifier of a report about this attempt, unique in the fleet."""
+        return f'{self.job.request_id}/{self.attempt_id}'
+
     def verdict(self, *, was_sent: bool) -> Verdict:
         """Tell whether the target may have run the request."""
         if self.is_shed or not was_sent:
--- a/foxtailreach/core/pool/owner.py
+++ b/foxtailreach/core/pool/owner.py
@@ -377,24 +377,20 @@
         fingerprint = attempt.job.handoff.fingerprint
         if not self._crashes.is_suspect(fingerprint):
             attempt.state.health.record_result(failed=True)
-        report = messages.CrashRumor(
-            fingerprint=fingerprint,
-            target=attempt.state.name,
-            report_id=f'{attempt.job.request_id}/{attempt.attempt_id}',
+        report = self._crashes.report_lost(
+            fingerprint,
+            attempt.state.name,
+            attempt.report_id,
+            now_us,
         )
-        self._crashes.absorb(report, now_us)
         return [effects.SpreadRumor(report)]
 
     def _exonerate(self, attempt: Attempt, now_us: int) -> Effects:
         fingerprint = attempt.job.handoff.fingerprint
         if not self._crashes.is_suspect(fingerprint):
             return []
-        report = messages.CrashRumor(
-            fingerprint=fingerprint,
-            target='',
-            report_id=f'{attempt.job.request_id}/{attempt.attempt_id}',
-        )
-        self._crashes.absorb(report, now_us)
+        report_id = attempt.report_id
+        report = self._crashes.withdraw(fingerprint, report_id, now_us)
         return [effects.SpreadRumor(report)]
 
     def _conclude(
--- a/foxtailreach/core/relay.py
+++ b/foxtailreach/core/relay.py
@@ -9,10 +9,12 @@
 from foxtailreach.core.fold import Fold
 from foxtailreach.core.knowledge import Knowledge
 from foxtailreach.core.membership import Membership
+from foxtailreach.core.ranking import top_candidate
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.exceptions import ProtocolError
 
 RETAINED_RECORDS = 256
+SNAPSHOT_EVERY_RECORDS = 500
 PULL_INTERVAL_US = 200 * MILLISECOND_US
 
 Effects = list[effects.Effect]
@@ -94,6 +96,22 @@
             return False
         return self._fold.restore(record)
 
+    def snapshot_if_due(self, *, can_append: bool) -> Effects:
+        """Append a snapshot when enough records followed the last one.
+
+        The hosts take turns, so that one of them appends each snapshot.
+        """
+        next_offset = self._fold.next_offset
+        behind = next_offset - self._fold.snapshot_offset
+        if not can_append or behind < SNAPSHOT_EVERY_RECORDS:
+            return []
+        hosts = self._membership.usable_hosts()
+        turn = str(next_offset // SNAPSHOT_EVERY_RECORDS)
+        if top_candidate(hosts, turn) != self._membership.host_id:
+            return []
+        self._fold.snapshot_offset = next_offset
+        return [effects.Append(self._fold.encoded_snapshot())]
+
     def compare(
         self,
         host_id: str,
