Prove spans, metrics and status; add a cut-off target; log spans by default

Change: check_observation follows a caller's trace over two hosts to the target; without trace_file spans are log lines; the unused list_lag_ms fault is gone.

--- a/foxtailreach/daemon/telemetry.py
+++ b/foxtailreach/daemon/telemetry.py
@@ -4,6 +4,7 @@
 
 import sys
 from contextlib import ExitStack
+from io import StringIO
 from pathlib import Path
 from typing import TextIO
 
@@ -52,7 +53,7 @@
     host_id: str,
     stack: ExitStack,
 ) -> Tracer:
-    """Create a tracer that exports to the settings' file, if any."""
+    """Create a tracer that exports to the settings' file or the log."""
     provider = TracerProvider(
         sampler=ParentBasedTraceIdRatio(section.trace_sample_ratio),
         resource=Resource.create({'service.name': host_id}),
@@ -63,11 +64,21 @@
             Path(section.trace_file).open('a', encoding='utf-8'),
         )
         exporter = ConsoleSpanExporter(out=stream, formatter=_span_line)
-        provider.add_span_processor(BatchSpanProcessor(exporter))
-        stack.callback(provider.shutdown)
+    else:
+        exporter = ConsoleSpanExporter(out=_LogStream(), formatter=_span_line)
+    provider.add_span_processor(BatchSpanProcessor(exporter))
+    stack.callback(provider.shutdown)
     return provider.get_tracer('foxtailreach')
 
 
+class _LogStream(StringIO):
+    """Turns each span that is written into a log line."""
+
+    def write(self, text: str) -> int:
+        logger.info('span: {}', text.rstrip())
+        return len(text)
+
+
 class LatencyCollector(Collector):
     """Latency histograms per service and customer."""
 
--- a/foxtailreach/testing/platform.py
+++ b/foxtailreach/testing/platform.py
@@ -22,7 +22,6 @@
     is_away: bool = False
     slow_ms: int = 0
     lose_answers: int = 0
-    list_lag_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/foxtailreach/testing/target.py
+++ b/foxtailreach/testing/target.py
@@ -14,6 +14,7 @@
 
 TEST_ID_HEADER = 'X-Test-Id'
 DIGEST_HEADER = 'X-Body-Sha256'
+NEVER_S = 3600
 _CHUNK_BYTES = 65536
 _MS_PER_S = 1000
 _KEY_HEADERS = ('Authorization', 'X-Api-Key')
@@ -21,7 +22,10 @@
 
 @dataclass(slots=True)
 class TargetBehaviour:
-    """What the target does; all fields may change while it runs."""
+    """What the target does; all fields may change while it runs.
+
+    A target that is cut off takes connections, but no request reaches it.
+    """
 
     slots: int = 2
     service_ms: float = 20
@@ -31,6 +35,7 @@
     error_ratio: float = 0
     partial_ratio: float = 0
     is_hanging: bool = False
+    is_cut_off: bool = False
     is_draining: bool = False
     is_health_misleading: bool = True
     crash_path: str = ''
@@ -49,6 +54,7 @@
     at_s: float
     saw_key: bool
     in_flight: int
+    traceparent: str
 
 
 @dataclass(slots=True)
@@ -89,6 +95,8 @@
 
     async def _run(self, path: str) -> None:
         state, behaviour = self._state, self._state.behaviour
+        if behaviour.is_cut_off:
+            await asyncio.sleep(NEVER_S)
         if state.in_flight >= state.capacity or behaviour.is_draining:
             state.sheds += 1
             state.overloads += state.in_flight >= state.capacity
@@ -108,7 +116,7 @@
             self._server.crash()
             return
         if behaviour.is_hanging:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(NEVER_S)
         mean_s = behaviour.service_ms * behaviour.slow_factor / _MS_PER_S
         await asyncio.sleep(self._state.rng.expovariate(1 / mean_s))
         await self._answer()
@@ -162,6 +170,7 @@
                 at_s=time.monotonic(),
                 saw_key=any(name in headers for name in _KEY_HEADERS),
                 in_flight=self._state.in_flight,
+                traceparent=headers.get('traceparent', ''),
             ),
         )
 
--- a/foxtailreach/tests/core/fleet_tests.py
+++ b/foxtailreach/tests/core/fleet_tests.py
@@ -23,6 +23,7 @@
     Objects,
     Removals,
 )
+from foxtailreach.core import events, messages
 from foxtailreach.core.messages import Liveness
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.core.verdict import Reason
@@ -310,3 +311,63 @@
     fleet.run_until(fleet.now_us + 6 * SECOND_US)
     refused = Counter(answer.refusal for answer in fleet.answers)
     assert set(refused) == {''}
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_resent_crash_request_loses_two_targets_in_the_fleet(
+    method: str,
+) -> None:
+    fleet = start_fleet(UNLIMITED, seed=16, hosts=12)
+    for target in fleet.targets.values():
+        target.crash_path = '/stoc/poison'
+    serve_load(fleet, 0.3, 12)
+    fleet.run_until(fleet.now_us + 3 * SECOND_US)
+    for host_id in sorted(fleet.nodes)[:8]:
+        key = key_of(CUSTOMER)
+        fleet.request(host_id, key, '/stoc/poison', method, fingerprint=99)
+        fleet.run_until(fleet.now_us + 50_000)
+    assert sum(target.crashes for target in fleet.targets.values()) == 2
+    refusals = Counter(answer.refusal for answer in fleet.answers)
+    assert refusals[Reason.QUARANTINED.value] >= 5
+    fleet.answers.clear()
+    fleet.run_until(fleet.now_us + 5 * SECOND_US)
+    assert {answer.refusal for answer in fleet.answers} == {''}
+
+
+def test_draining_target_gets_no_new_work_and_finishes_its_own() -> None:
+    fleet = start_fleet(UNLIMITED, seed=17, hosts=12)
+    serve_load(fleet, 0.5, 14)
+    fleet.run_until(fleet.now_us + 5 * SECOND_US)
+    fleet.answers.clear()
+    version = fleet.nodes['host-0000'].fold.version
+    target = replace(UNLIMITED.targets['stoc-02'], state='draining')
+    change = ChangeSet('drain', version, Objects(targets={'stoc-02': target}))
+    fleet.publish(change)
+    published_us = fleet.now_us
+    fleet.run_until(published_us + 6 * SECOND_US)
+    last_us = fleet.targets['stoc-02'].runs[-1][0]
+    assert last_us - published_us < 3 * SECOND_US
+    assert {answer.refusal for answer in fleet.answers} == {''}
+
+
+def test_lagging_peer_and_old_snapshot_revert_nothing() -> None:
+    fleet = start_fleet(OBJECTS, seed=18, hosts=6)
+    old = fleet.nodes['host-0001'].fold.encoded_snapshot()
+    old_offset = fleet.nodes['host-0001'].fold.next_offset
+    version = fleet.nodes['host-0000'].fold.version
+    removal = Removals(keys=(f'{CUSTOMER}-1',))
+    fleet.publish(ChangeSet('withdraw', version, removals=removal))
+    fleet.run_until(fleet.now_us + IN_FORCE_US)
+    node = fleet.nodes['host-0000']
+    before = node.fold.next_offset
+    stale = messages.Snapshot(old, old_offset, 0)
+    replayed = tuple(
+        messages.LogRecord(offset, payload)
+        for offset, payload in enumerate(fleet.log)
+    )
+    for message in (stale, messages.LogBatch(replayed, 0)):
+        received = events.PeerReceived('host-0001', message)
+        fleet.post('host-0000', received)
+    assert node.fold.next_offset == before
+    assert node.fold.version == version + 1
+    assert node.catalog.customer_of_key(key_of(CUSTOMER)) is None
--- a/foxtailreach/tests/daemon/path_tests.py
+++ b/foxtailreach/tests/daemon/path_tests.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, replace
 from ipaddress import IPv4Address
+from pathlib import Path
 from typing import Any
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
@@ -20,6 +21,7 @@
     HostSection,
     HostSettings,
     LimitsSection,
+    LogSection,
     PlatformSection,
 )
 from foxtailreach.config.objects import (
@@ -89,7 +91,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_rig() -> AsyncIterator[Rig]:
+async def open_rig(folder: Path) -> AsyncIterator[Rig]:
     platform_port, target_port, *ports = free_ports(8)
     state = PlatformState()
     platform = create_platform(state)
@@ -116,6 +118,7 @@
                 IPv4Address(LOOPBACK), platform_port, poll_interval_ms=50
             ),
             limits=LimitsSection(max_header_bytes=4096),
+            log=LogSection(trace_file=str(folder / f'{name}.jsonl')),
         )
         hosts[name] = Host(settings)
         state.hosts[name] = HostEntry(name, name, LOOPBACK, peer)
@@ -171,23 +174,24 @@
             await asyncio.sleep(0.05)
 
 
-def run(check: Callable[[Rig], Awaitable[None]]) -> None:
+def run(check: Callable[[Rig], Awaitable[None]], folder: Path) -> None:
     async def main() -> None:
-        async with open_rig() as rig:
+        async with open_rig(folder) as rig:
             await check(rig)
 
     asyncio.run(main())
 
 
-def test_path_end_to_end() -> None:
+def test_path_end_to_end(tmp_path: Path) -> None:
     """One rig for all cases, because it takes seconds to start."""
-    run(check_path)
+    run(check_path, tmp_path)
 
 
 async def check_path(rig: Rig) -> None:
     for check in (
         check_answers,
         check_streams,
+        check_observation,
         check_refusals,
         check_malformed_requests,
         check_kept_connections,
@@ -242,6 +246,29 @@
         assert reply.headers['X-Upload-Sha256'] == digest
 
 
+async def check_observation(rig: Rig) -> None:
+    """Spans of both hops, metrics and status of a host."""
+    parent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
+    for _ in range(3):
+        await rig.fetch(host='far', headers={'traceparent': parent})
+    received = rig.target.state.runs[-1].traceparent.split('-')
+    assert received[1] == parent.split('-')[1]
+    assert received[2] != parent.split('-')[2]
+    async with asyncio.timeout(10):
+        for name in ('far', 'near'):
+            path = Path(rig.hosts[name].settings.log.trace_file)
+            while received[1] not in path.read_text(encoding='utf-8'):
+                await asyncio.sleep(0.1)
+    port = rig.hosts['far'].settings.host.admin_port
+    admin = f'http://{LOOPBACK}:{port}'
+    metrics = (await rig.client.fetch(f'{admin}/metrics')).body.decode()
+    assert 'foxtailreach_latency_seconds{customer="customer"' in metrics
+    assert 'foxtailreach_answered_total{customer="customer"' in metrics
+    status = json.loads((await rig.client.fetch(f'{admin}/status')).body)
+    assert status['host_id'] == 'far'
+    assert set(status['hosts']) == {'far', 'near'}
+
+
 async def check_refusals(rig: Rig) -> None:
     wrong_key = {'X-Api-Key': 'wrong'}
     cases: list[tuple[str, dict[str, str], int, str]] = [
