Never report an assumed load; exclude the pool that refused

An entry host that had never heard of the returned pool told full owners that it was free; they handed requests on to it, it refused, and the entry host excluded the full pools in its place until all had been tried. Change: assumed estimates are marked and never travel; the pool named in a refusal is the one excluded; only the first handoff may be handed on.

--- a/foxtailreach/core/entry.py
+++ b/foxtailreach/core/entry.py
@@ -47,6 +47,7 @@
     tried: set[str] = field(default_factory=set)
     hops: int = 0
     pool_id: str = ''
+    refused_by: tuple[str, ...] = ()
     host_id: str = ''
     may_have_run: bool = False
     is_answer_started: bool = False
@@ -185,6 +186,7 @@
         if result.verdict is Verdict.RAN and result.reason is None:
             return [self._finish(pending, now_us)]
         reason = result.reason or Reason.TARGET_FAILED
+        pending.refused_by = tuple(load.pool_id for load in result.loads)
         return self._retry_or_refuse(
             pending,
             result.verdict,
@@ -298,6 +300,7 @@
         pending.pool_id = pool.pool_id
         pending.host_id = owner
         pending.hops += 1
+        may_forward = pending.hops == 1 and not pending.head.is_streamed
         self.loads.record_sent(pool.pool_id)
         others = [other for other in pools if other is not pool]
         handoff = messages.Handoff(
@@ -311,7 +314,7 @@
             deadline_left_us=max(0, pending.deadline_us - now_us),
             queue_left_us=max(0, pending.queue_until_us - now_us),
             origin=self._host_id,
-            forwards_left=0 if pending.head.is_streamed else MAX_FORWARDS,
+            forwards_left=MAX_FORWARDS if may_forward else 0,
             retries_left=OWNER_RETRIES,
             loads=self.loads.reports(others, now_us),
         )
@@ -347,7 +350,8 @@
             self.pending.pop(pending.request_id)
             return [effects.CutCaller(pending.request_id)]
         if self._may_retry(pending, verdict, reason, now_us):
-            pending.tried.add(pending.pool_id)
+            pending.tried.update(pending.refused_by or (pending.pool_id,))
+            pending.refused_by = ()
             retried = self._hand_off(pending, now_us)
             if _is_handoff(retried):
                 return retried
--- a/foxtailreach/core/loads.py
+++ b/foxtailreach/core/loads.py
@@ -31,6 +31,7 @@
     service_us: int
     observed_us: int
     sent_since: int = 0
+    is_assumed: bool = False
 
     def backlog(self, now_us: int) -> float:
         """Estimate running and queued requests now."""
@@ -64,7 +65,8 @@
         """Adopt a report unless a fresher one is known."""
         observed_us = now_us - load.age_us
         known = self._estimates.get(load.pool_id)
-        if known is not None and known.observed_us > observed_us:
+        is_known = known is not None and not known.is_assumed
+        if known is not None and is_known and known.observed_us > observed_us:
             return
         self._estimates[load.pool_id] = PoolEstimate(
             slots=load.slots,
@@ -109,15 +111,10 @@
     ) -> Pool | None:
         """Return another pool that had a free slot a moment ago."""
         best: Pool | None = None
-        most_free = 0.0
+        most_free = 1.0
         for pool in pools:
-            estimate = self._estimates.get(pool.pool_id)
-            if estimate is None or pool.pool_id == excluded:
-                continue
-            if now_us - estimate.observed_us > FRESH_LOAD_US:
-                continue
-            free = estimate.slots - estimate.backlog(now_us)
-            if free >= 1 and free > most_free:
+            free = self._recently_free(pool.pool_id, now_us)
+            if pool.pool_id != excluded and free >= most_free:
                 best, most_free = pool, free
         return best
 
@@ -127,16 +124,22 @@
         now_us: int,
     ) -> tuple[PoolLoad, ...]:
         """Return the freest pools of late, to travel with a request."""
-        reports = []
-        for pool in pools:
-            estimate = self._estimates.get(pool.pool_id)
-            if estimate is None:
-                continue
-            age_us = now_us - estimate.observed_us
-            if age_us <= FRESH_LOAD_US and estimate.slots > estimate.busy:
-                reports.append(_report(pool.pool_id, estimate, age_us))
+        reports = [
+            _report(pool.pool_id, self._estimates[pool.pool_id], now_us)
+            for pool in pools
+            if self._recently_free(pool.pool_id, now_us) > 0
+        ]
         return tuple(heapq.nlargest(MAX_REPORTS, reports, key=_free_slots))
 
+    def _recently_free(self, pool_id: str, now_us: int) -> float:
+        """Return the free slots that were reported a moment ago."""
+        estimate = self._estimates.get(pool_id)
+        if estimate is None or estimate.is_assumed:
+            return 0
+        if now_us - estimate.observed_us > FRESH_LOAD_US:
+            return 0
+        return estimate.slots - estimate.backlog(now_us)
+
     def _estimate(self, pool: Pool, now_us: int) -> PoolEstimate:
         known = self._estimates.get(pool.pool_id)
         if known is not None and now_us - known.observed_us < STALE_LOAD_US:
@@ -147,6 +150,7 @@
             queued=0,
             service_us=DEFAULT_SERVICE_US,
             observed_us=now_us,
+            is_assumed=True,
         )
         self._estimates[pool.pool_id] = fresh
         return fresh
@@ -156,12 +160,16 @@
     return load.slots - load.busy - load.queued
 
 
-def _report(pool_id: str, estimate: PoolEstimate, age_us: int) -> PoolLoad:
+def _report(
+    pool_id: str,
+    estimate: PoolEstimate,
+    now_us: int,
+) -> PoolLoad:
     return PoolLoad(
         pool_id=pool_id,
         slots=estimate.slots,
         busy=estimate.busy,
         queued=estimate.queued,
         service_us=estimate.service_us,
-        age_us=age_us,
+        age_us=now_us - estimate.observed_us,
     )
