--- a/foxtailreach/config/files.py
+++ b/foxtailreach/config/files.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
 from pydantic import ValidationError
 
+from foxtailreach.config.checks import check_change_set
 from foxtailreach.config.defaults import read_toml
 from foxtailreach.config.faults import Fault, describe_faults
 from foxtailreach.config.objects import (
@@ -22,6 +24,31 @@
 REMOVALS_TABLE = 'remove'
 
 
+@dataclass(slots=True, frozen=True)
+class ParsedFiles:
+    """The valid part of TOML files, and every fault of the other part."""
+
+    change: ChangeSet
+    faults: tuple[Fault, ...]
+
+    def all_faults(self, current: Objects) -> list[Fault]:
+        """Add the faults that the valid part would cause in `current`.
+
+        References to an object that is itself faulty are left out.
+        """
+        faulty = {
+            fault.key.split('.')[1] for fault in self.faults if '.' in fault.key
+        }
+        return [
+            *self.faults,
+            *(
+                fault
+                for fault in check_change_set(current, self.change)
+                if fault.found.strip("'") not in faulty
+            ),
+        ]
+
+
 def read_change_set(
     paths: Sequence[Path],
     change_id: str,
@@ -31,6 +58,18 @@
 
     Raises ConfigurationError that lists all faults of all files.
     """
+    parsed = parse_files(paths, change_id, base_version)
+    if parsed.faults:
+        raise ConfigurationError(describe_faults(parsed.faults))
+    return parsed.change
+
+
+def parse_files(
+    paths: Sequence[Path],
+    change_id: str,
+    base_version: int,
+) -> ParsedFiles:
+    """Merge TOML files and set faulty entries aside."""
     merged: dict[str, dict[str, object]] = {}
     faults: list[Fault] = []
     for path in paths:
@@ -38,15 +77,16 @@
     removals = merged.pop(REMOVALS_TABLE, {})
     upserts, upsert_faults = _parse_objects(merged)
     parsed_removals, removal_faults = _parse_removals(removals)
-    faults = [*faults, *upsert_faults, *removal_faults]
-    if faults:
-        raise ConfigurationError(describe_faults(faults))
-    return ChangeSet(
+    change = ChangeSet(
         change_id=change_id,
         base_version=base_version,
         upserts=upserts,
         removals=parsed_removals,
     )
+    return ParsedFiles(
+        change,
+        (*faults, *upsert_faults, *removal_faults),
+    )
 
 
 def _merge_file(
@@ -85,7 +125,10 @@
     try:
         return OBJECTS.validate_python(merged), []
     except ValidationError as error:
-        return Objects(), Fault.from_validation(error)
+        for detail in error.errors():
+            kind, name = detail['loc'][:2]
+            merged[str(kind)].pop(str(name), None)
+        return OBJECTS.validate_python(merged), Fault.from_validation(error)
 
 
 def _parse_removals(
--- a/foxtailreach/queries/check.py
+++ b/foxtailreach/queries/check.py
@@ -8,9 +8,8 @@
 from pathlib import Path
 
 from foxtailreach.commands.publish import catch_up
-from foxtailreach.config.checks import check_change_set
 from foxtailreach.config.faults import describe_faults
-from foxtailreach.config.files import read_change_set
+from foxtailreach.config.files import parse_files
 from foxtailreach.config.objects import Objects
 from foxtailreach.core.fold import Fold
 from foxtailreach.daemon.platform import PlatformAddress, PlatformClient
@@ -28,8 +27,7 @@
     current = Objects()
     if address is not None:
         current = asyncio.run(_current_objects(address))
-    change = read_change_set(paths, 'check', 0)
-    faults = check_change_set(current, change)
+    faults = parse_files(paths, 'check', 0).all_faults(current)
     if faults:
         raise ConfigurationError(describe_faults(faults))
 
--- a/foxtailreach/tests/commands/cli_tests.py
+++ b/foxtailreach/tests/commands/cli_tests.py
@@ -83,7 +83,7 @@
         (
             '[keys.k]\ncustomer = "c"\ndigest_sha256 = "x"\n'
             '[customers.c]\nlimit = "none"',
-            ['digest_sha256'],
+            ['keys.k.digest_sha256', 'customers.c.limit'],
         ),
         ('[remove]\nkeys = ["absent"]', ['removals.keys', 'absent']),
     ],
