--- a/foxtailreach/tests/core/limit_machine_tests.py
+++ b/foxtailreach/tests/core/limit_machine_tests.py
@@ -53,7 +53,7 @@
 
 
 class LimitMachine(RuleBasedStateMachine):
-    """Two entry hosts and three seats over an unreliable network."""
+    """Two entry hosts and all seats over an unreliable network."""
 
     @initialize(rate=RATES, burst=BURSTS)
     def start(self, rate: int, burst: int) -> None:
@@ -70,7 +70,7 @@
         self.max_rate = rate
         self.max_burst = burst
         self.clients = {
-            name: LimitClient(self.locate, lambda group: (0, 1, 2), index << 20)
+            name: LimitClient(self.locate, lambda group: tuple(range(SEATS)), index << 20)
             for index, name in enumerate(ENTRIES)
         }
         self.append_limit(rate, burst)
