--- a/foxtailreach/tests/core/limit_machine_tests.py
+++ b/foxtailreach/tests/core/limit_machine_tests.py
@@ -70,7 +70,9 @@
         self.max_rate = rate
         self.max_burst = burst
         self.clients = {
-            name: LimitClient(self.locate, lambda group: tuple(range(SEATS)), index << 20)
+            name: LimitClient(
+                self.locate, lambda group: tuple(range(SEATS)), index << 20
+            )
             for index, name in enumerate(ENTRIES)
         }
         self.append_limit(rate, burst)
