Cut an owner off while its targets are cold

Cause: a mutation without the wait at a takeover survived the tests. Ruled out: this catches the mutation; the cut-off owner gets too little work in the tenth of a second for which both would send. It survives still, as does a milder choice of the level probabilities.

--- a/foxtailreach/tests/core/fleet_tests.py
+++ b/foxtailreach/tests/core/fleet_tests.py
@@ -85,16 +85,19 @@
     assert {name for _, name, _ in fleet.counters.ejections} == {'stoc-04'}
 
 
-@pytest.mark.parametrize('event', ['start', 'owner killed', 'domain returns'])
+@pytest.mark.parametrize(
+    'event',
+    ['start', 'owner killed', 'owner cut off', 'domain returns'],
+)
 def test_cold_target_gets_no_more_than_it_bears(event: str) -> None:
-    service = replace(UNLIMITED.services['stoc'], warm_up_ms=5000)
+    service = replace(UNLIMITED.services['stoc'], warm_up_ms=8000)
     objects = replace(
         UNLIMITED,
         services={**UNLIMITED.services, 'stoc': service},
     )
     fleet = Fleet(objects, seed=2)
     for target in fleet.targets.values():
-        target.warm_at_us = 5 * SECOND_US
+        target.warm_at_us = 8 * SECOND_US
     fleet.add_hosts(12)
     fleet.run_until(2 * SECOND_US)
     serve_load(fleet, 0.5, 20)
@@ -102,12 +105,16 @@
     if event == 'owner killed':
         victim = owner_of(fleet, 'stoc/pitesti/0')
         fleet.kill_host(victim, list_lag_us=5 * SECOND_US)
+    if event == 'owner cut off':
+        owner = owner_of(fleet, 'stoc/pitesti/0')
+        for other in fleet.nodes:
+            fleet.cut_links |= {(owner, other), (other, owner)}
     if event == 'domain returns':
         fleet.publish(domain_change(fleet, 'pitesti', 'out'))
         fleet.run_until(5 * SECOND_US)
         for target in fleet.targets.values():
             if target.domain == 'pitesti':
-                target.warm_at_us = fleet.now_us + 5 * SECOND_US
+                target.warm_at_us = fleet.now_us + 8 * SECOND_US
         fleet.publish(domain_change(fleet, 'pitesti', 'active'))
     fleet.run_until(12 * SECOND_US)
     overloads = [
