Close the fresh connection of a request that is not idempotent

Cause: each such request opened a connection and left it idle in the client's pool: 33 connections to a target with 8 slots after 30 POSTs (test, failing first). Change: those connections are not reused; idempotent requests keep theirs. Ruled out: a smaller pool, because it is shared by all targets of a host. After: at most the target's slots, idle connections included.

--- a/foxtailreach/daemon/upstream.py
+++ b/foxtailreach/daemon/upstream.py
@@ -190,6 +190,7 @@
         curl.setopt(pycurl.HEADERFUNCTION, self._header_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.FRESH_CONNECT, int(self._start.must_connect))
+        curl.setopt(pycurl.FORBID_REUSE, int(self._start.must_connect))
         curl.setopt(pycurl.TCP_NODELAY, 1)
         if self._body is not None:
             self._prepare_upload(curl, self._body)
--- a/foxtailreach/testing/target.py
+++ b/foxtailreach/testing/target.py
@@ -222,6 +222,13 @@
             self._server.stop()
             await self._server.close_all_connections()
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that callers hold open now."""
+        if self._server is None:
+            return 0
+        return len(self._server._connections)  # noqa: SLF001
+
     def crash(self) -> None:
         """Lose all connections, and restart cold after a while."""
         self.state.crashes += 1
--- a/foxtailreach/tests/daemon/path_tests.py
+++ b/foxtailreach/tests/daemon/path_tests.py
@@ -50,6 +50,7 @@
 
 KEY = 'secret-key'
 BIG_BYTES = 3_000_000
+TARGET_SLOTS = 8
 START_LIMIT_S = 10
 
 
@@ -194,6 +195,7 @@
         check_observation,
         check_refusals,
         check_malformed_requests,
+        check_bounded_connections,
         check_kept_connections,
         check_unreachable_target,
         check_abandoned_request,
@@ -306,6 +308,14 @@
     assert not rig.target.state.runs
 
 
+async def check_bounded_connections(rig: Rig) -> None:
+    """Connections, idle ones included, never exceed the target's slots."""
+    for method, body in (('GET', None), ('POST', b'x')):
+        for _ in range(30):
+            assert (await rig.fetch(method=method, body=body)).code == 200
+        assert rig.target.open_connections <= TARGET_SLOTS
+
+
 async def check_kept_connections(rig: Rig) -> None:
     """A target that dies after a POST on a kept connection ran it once."""
     await rig.fetch()
