--- a/foxtailreach/core/node.py
+++ b/foxtailreach/core/node.py
@@ -231,7 +231,8 @@
     def _platform_event(self, event: events.Event, now_us: int) -> Effects:
         match event:
             case events.LogRead():
-                return self._log_read(event, now_us)
+                step = self._relay.read(event, now_us)
+                return [*step, *self._review(now_us)]
             case events.HostsListed(hosts=hosts):
                 return self._hosts_listed(hosts, now_us)
             case events.StopRequested():
@@ -313,15 +314,8 @@
         now_us: int,
     ) -> Effects:
         match message:
-            case messages.LogBatch(records=records, log_age_us=age_us):
-                is_new = self._relay.absorb(records)
-                step: Effects = []
-                if is_new:
-                    step.append(effects.SpreadRumor(message, is_relayed=True))
-                next_offset = records[-1].offset + 1 if records else 0
-                step.extend(
-                    self._relay.compare(sender, next_offset, age_us, now_us),
-                )
+            case messages.LogBatch():
+                step = self._relay.receive(sender, message, now_us)
                 return [*step, *self._review(now_us)]
             case messages.LogPull():
                 return self._relay.answer_pull(sender, message, now_us)
@@ -377,19 +371,6 @@
             now_us,
         )
 
-    def _log_read(self, event: events.LogRead, now_us: int) -> Effects:
-        step: Effects = []
-        if self._relay.absorb(event.records):
-            batch = self._relay.batch(event.records, now_us)
-            step.append(effects.SpreadRumor(batch))
-        if self.fold.next_offset >= event.next_offset:
-            self.knowledge.record_read(now_us)
-        elif event.first_offset > self.fold.next_offset:
-            step.append(
-                effects.Note('log-trimmed', str(event.first_offset)),
-            )
-        return [*step, *self._review(now_us)]
-
     def _hosts_listed(
         self,
         hosts: Iterable[messages.HostEntry],
--- a/foxtailreach/core/pool/owner.py
+++ b/foxtailreach/core/pool/owner.py
@@ -15,8 +15,9 @@
 from foxtailreach.core.crashes import CrashLedger
 from foxtailreach.core.events import AttemptOutcome
 from foxtailreach.core.pool.attempts import Attempt
+from foxtailreach.core.pool.backlog import Backlog
 from foxtailreach.core.pool.monitor import PoolMonitor
-from foxtailreach.core.pool.queue import FairQueue, Job
+from foxtailreach.core.pool.queue import Job
 from foxtailreach.core.pool.targets import TargetState, TargetStatus
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.core.verdict import Reason, Verdict, may_resend
@@ -32,13 +33,12 @@
 
     __slots__ = (
         '_attempts',
+        '_backlog',
         '_budget',
         '_crashes',
         '_jobs',
-        '_long_in_flight',
         '_monitor',
         '_next_attempt_id',
-        '_queues',
         '_rng',
         'activates_at_us',
         'is_active',
@@ -71,8 +71,7 @@
         self._rng = rng
         self._attempts: dict[int, Attempt] = {}
         self._jobs: dict[str, Job] = {}
-        self._queues = {'short': FairQueue(), 'long': FairQueue()}
-        self._long_in_flight = 0
+        self._backlog = Backlog()
         self._budget = RetryBudget(now_us)
         self._monitor = PoolMonitor(service, self.targets, now_us)
 
@@ -89,7 +88,7 @@
     @property
     def queued(self) -> int:
         """Jobs that wait for a slot."""
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._backlog)
 
     @property
     def is_idle(self) -> bool:
@@ -167,7 +166,7 @@
             return [self._refuse(job, Reason.OVERLOAD, int(wait_us))]
         self._budget.record_request()
         self._jobs[job.request_id] = job
-        self._queues[handoff.duration].push(job)
+        self._backlog.push(job)
         return self._dispatch(now_us)
 
     def estimate_wait_us(self, customer: str, weight: int) -> float:
@@ -175,10 +174,7 @@
         slots = self.slots
         if self.free_slots > self.queued:
             return 0
-        ahead = sum(
-            queue.share_ahead(customer, weight)
-            for queue in self._queues.values()
-        )
+        ahead = self._backlog.share_ahead(customer, weight)
         return ahead * self._monitor.service_us / slots
 
     def cancel(self, request_id: str, now_us: int) -> Effects:
@@ -187,7 +183,7 @@
         if job is None:
             return []
         if job.is_queued:
-            self._queues[job.handoff.duration].remove(job)
+            self._backlog.remove(job)
             return [self._finish(job, Verdict.NOT_RUN, Reason.CANCELLED)]
         return [
             self._cancel_attempt(attempt)
@@ -234,8 +230,7 @@
         if attempt is None:
             return []
         attempt.state.in_flight -= 1
-        if attempt.job.handoff.duration == 'long':
-            self._long_in_flight -= 1
+        self._backlog.record_end(attempt.job)
         self._drop_drained()
         self._monitor.record_failure(attempt, outcome, now_us)
         attempts = self._attempts.values()
@@ -248,25 +243,20 @@
 
     def tick(self, now_us: int) -> Effects:
         """Expire queued jobs, refresh references, start trials."""
-        step: Effects = []
-        for queue in self._queues.values():
-            step.extend(
-                self._finish(job, Verdict.NOT_RUN, Reason.OVERLOAD)
-                for job in queue.pop_expired(now_us)
-            )
+        step: Effects = [
+            self._finish(job, Verdict.NOT_RUN, Reason.OVERLOAD)
+            for job in self._backlog.pop_expired(now_us)
+        ]
         attempts = self._attempts.values()
         step.extend(self._monitor.tick(attempts, now_us))
         return [*step, *self._dispatch(now_us)]
 
     def drain_queue(self) -> Effects:
         """Refuse all queued jobs so that their origins go elsewhere."""
-        step: Effects = []
-        for queue in self._queues.values():
-            step.extend(
-                self._finish(job, Verdict.NOT_RUN, Reason.NOT_OWNER)
-                for job in iter(queue.pop, None)
-            )
-        return step
+        return [
+            self._finish(job, Verdict.NOT_RUN, Reason.NOT_OWNER)
+            for job in self._backlog.drain()
+        ]
 
     def _update_target(self, name: str, target: Target, now_us: int) -> None:
         state = self.targets.get(name)
@@ -302,7 +292,7 @@
             return step
         skipped: list[Job] = []
         while len(skipped) < MAX_SKIPPED_JOBS:
-            job = self._next_job()
+            job = self._backlog.pop() if self.free_slots > 0 else None
             if job is None:
                 break
             state = self._pick_target(job, now_us)
@@ -311,19 +301,9 @@
             else:
                 step.append(self._start(job, state, now_us))
         for job in skipped:
-            self._queues[job.handoff.duration].put_back(job)
+            self._backlog.put_back(job)
         return step
 
-    def _next_job(self) -> Job | None:
-        if self.free_slots <= 0:
-            return None
-        short, long = self._queues['short'], self._queues['long']
-        if not len(long):
-            return short.pop()
-        if not len(short) or not self._long_in_flight:
-            return long.pop()
-        return short.pop()
-
     def _pick_target(self, job: Job, now_us: int) -> TargetState | None:
         candidates = [
             state
@@ -352,8 +332,7 @@
         attempt = Attempt(self._next_attempt_id(), job, state, now_us)
         self._attempts[attempt.attempt_id] = attempt
         state.in_flight += 1
-        if job.handoff.duration == 'long':
-            self._long_in_flight += 1
+        self._backlog.record_start(job)
         return effects.StartAttempt(
             attempt_id=attempt.attempt_id,
             head=job.handoff.head,
@@ -434,7 +413,7 @@
             return [self._finish(job, Verdict.NOT_RUN, Reason.NO_TARGET)]
         max_queue_us = self.service.max_queue_ms * MILLISECOND_US
         job.expires_us = min(job.deadline_us, now_us + max_queue_us)
-        self._queues[job.handoff.duration].push_front(job)
+        self._backlog.push_front(job)
         return []
 
     def _has_alternative(self, job: Job) -> bool:
--- a/foxtailreach/core/relay.py
+++ b/foxtailreach/core/relay.py
@@ -5,7 +5,7 @@
 from collections import deque
 
 from foxtailreach.config.records import SnapshotRecord, decode_record
-from foxtailreach.core import effects, messages
+from foxtailreach.core import effects, events, messages
 from foxtailreach.core.fold import Fold
 from foxtailreach.core.knowledge import Knowledge
 from foxtailreach.core.membership import Membership
@@ -44,22 +44,32 @@
         self._next_pull_us = 0
         self._recent: deque[messages.LogRecord] = deque(maxlen=RETAINED_RECORDS)
 
-    def absorb(self, records: tuple[messages.LogRecord, ...]) -> bool:
-        """Fold records in order; true if any was new."""
-        is_new = False
-        for record in records:
-            if self._fold.apply(record.offset, record.payload):
-                self._recent.append(record)
-                is_new = True
-        return is_new
-
-    def batch(
+    def read(self, event: events.LogRead, now_us: int) -> Effects:
+        """Fold records that this host read, and pass on what is new."""
+        step: Effects = []
+        if self._absorb(event.records):
+            step.append(effects.SpreadRumor(self._batch(event.records, now_us)))
+        if self._fold.next_offset >= event.next_offset:
+            self._knowledge.record_read(now_us)
+        elif event.first_offset > self._fold.next_offset:
+            note = effects.Note('log-trimmed', str(event.first_offset))
+            step.append(note)
+        return step
+
+    def receive(
         self,
-        records: tuple[messages.LogRecord, ...],
+        sender: str,
+        batch: messages.LogBatch,
         now_us: int,
-    ) -> messages.LogBatch:
-        """Build the message that passes records on."""
-        return messages.LogBatch(records, self._knowledge.age_us(now_us))
+    ) -> Effects:
+        """Fold records that a peer passed on."""
+        step: Effects = []
+        if self._absorb(batch.records):
+            step.append(effects.SpreadRumor(batch, is_relayed=True))
+        records = batch.records
+        next_offset = records[-1].offset + 1 if records else 0
+        compared = self.compare(sender, next_offset, batch.log_age_us, now_us)
+        return [*step, *compared]
 
     def answer_pull(
         self,
@@ -76,7 +86,7 @@
             if record.offset >= pull.next_offset
         )
         if missing and missing[0].offset == pull.next_offset:
-            return [effects.SendPeer(sender, self.batch(missing, now_us))]
+            return [effects.SendPeer(sender, self._batch(missing, now_us))]
         hosts = tuple(state.entry for state in self._membership.hosts.values())
         snapshot = messages.Snapshot(
             payload=self._fold.encoded_snapshot(),
@@ -129,3 +139,18 @@
         if log_offset == self._fold.next_offset and log_age_us >= 0:
             self._knowledge.record_read(now_us - log_age_us)
         return []
+
+    def _absorb(self, records: tuple[messages.LogRecord, ...]) -> bool:
+        is_new = False
+        for record in records:
+            if self._fold.apply(record.offset, record.payload):
+                self._recent.append(record)
+                is_new = True
+        return is_new
+
+    def _batch(
+        self,
+        records: tuple[messages.LogRecord, ...],
+        now_us: int,
+    ) -> messages.LogBatch:
+        return messages.LogBatch(records, self._knowledge.age_us(now_us))
--- a/foxtailreach/tests/core/fleet_tests.py
+++ b/foxtailreach/tests/core/fleet_tests.py
@@ -13,9 +13,9 @@
     offer_load,
     start_fleet,
 )
-from foxtailreach.bench.fleet import Fleet
+from foxtailreach.bench.fleet import Answered, Fleet
 from foxtailreach.bench.routing import capacity_per_s, without_limits
-from foxtailreach.bench.statistics import worst_excess
+from foxtailreach.bench.statistics import quantile, worst_excess
 from foxtailreach.config.objects import (
     ChangeSet,
     FailureDomain,
@@ -26,11 +26,12 @@
 from foxtailreach.core import events, messages
 from foxtailreach.core.messages import Liveness
 from foxtailreach.core.units import SECOND_US
-from foxtailreach.core.verdict import Reason
+from foxtailreach.core.verdict import Reason, Verdict
 
 OBJECTS = load_deployment('scara')
 UNLIMITED = without_limits(OBJECTS)
 CUSTOMER = 'livada-bascov'
+GREEDY = 'livada-merisani'
 IN_FORCE_US = 7 * SECOND_US
 
 
@@ -371,3 +372,41 @@
     assert node.fold.next_offset == before
     assert node.fold.version == version + 1
     assert node.catalog.customer_of_key(key_of(CUSTOMER)) is None
+
+
+def offer_two_customers(greedy_load: float) -> list[Answered]:
+    """Serve one customer at a tenth of capacity beside a greedy one."""
+    fleet = start_fleet(UNLIMITED, seed=20)
+    capacity = capacity_per_s(UNLIMITED, 'stoc')
+    start_us = fleet.now_us + 6 * SECOND_US
+    end_us = start_us + 10 * SECOND_US
+    offer_load(fleet, '/stoc/i', key_of(CUSTOMER), 0.1 * capacity, end_us)
+    if greedy_load:
+        rate = greedy_load * capacity
+        offer_load(fleet, '/stoc/i', key_of(GREEDY), rate, end_us)
+    fleet.run_until(start_us)
+    fleet.answers.clear()
+    fleet.run_until(end_us)
+    return fleet.answers
+
+
+def latencies_us(answers: list[Answered], customer: str) -> list[int]:
+    return [
+        answer.latency_us
+        for answer in answers
+        if answer.customer == key_of(customer) and not answer.refusal
+    ]
+
+
+def test_overload_by_one_customer_spares_another_and_wastes_nothing() -> None:
+    unloaded = latencies_us(offer_two_customers(0), CUSTOMER)
+    answers = offer_two_customers(3)
+    loaded = latencies_us(answers, CUSTOMER)
+    assert quantile(loaded, 0.99) <= 2 * quantile(unloaded, 0.99)
+    refused = [answer for answer in answers if answer.refusal]
+    assert {answer.customer for answer in refused} == {key_of(GREEDY)}
+    assert {answer.verdict for answer in refused} == {Verdict.NOT_RUN.value}
+    served = len(answers) - len(refused)
+    assert served > 0.9 * 10 * capacity_per_s(UNLIMITED, 'stoc')
+    waits_us = [answer.latency_us for answer in refused]
+    assert quantile(waits_us, 0.5) < 50_000
