Keep most sound targets in use by the chance that they are sound

Change: cover.py weighs each target by its chance to be sound, learnt from trials, and keeps 0.7 plus a margin in use at all times; the margin grows with failures and shrinks with the number of targets. Three cover modes go. Downloads try only targets of their own domain while all is well.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from foxtailreach.core.crashes import CrashLedger
 from foxtailreach.core.dispatch import messages, waiting
 from foxtailreach.core.dispatch.budgets import RepeatBudget, RepeatPolicy
+from foxtailreach.core.dispatch.cover import RecentOutcomes, is_stale
 from foxtailreach.core.dispatch.deployment import ServiceSpec, TargetSpec
 from foxtailreach.core.dispatch.evidence import (
     SLOW_FACTOR,
@@ -18,11 +18,8 @@
 )
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
 from foxtailreach.core.dispatch.placement import (
-    COVER_INTERVAL_US,
-    FAILING_COVER_SHARE,
     PlacementAsk,
     PlacementState,
-    calm_cover_share,
     choose_target,
 )
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
@@ -32,17 +29,6 @@
 SERVICE_TIME_GAIN = 0.05
 # A slot lapses this long after the request's own time is over.
 LEASE_SLACK_US = SECOND_US
-# Share of requests that are not served from which neglected targets are tried
-# again; operators ask for it at a tenth.
-STRUGGLING_SHARE = 0.095
-STRUGGLING_WINDOW_US = 2 * SECOND_US
-STRUGGLING_MIN_REQUESTS = 12
-# Where limits are part of the reason, trials cost less: nearly all targets are
-# tried, and a little longer than needed.
-TURNED_AWAY_SHARE = 0.03
-REFUSING_SHARE = 0.09
-REFUSING_COVER_SHARE = 0.9
-REFUSING_HOLD_US = SECOND_US
 # Distinct targets lost to one fingerprint before it is refused; resets that
 # have another cause hit the same request less often.
 CRASHES_TO_REFUSE = 3
@@ -64,18 +50,9 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class Outcome:
-    """Whether one request was served, or turned away for its limit."""
-
-    ended_us: int
-    is_served: bool
-    is_turned_away: bool = False
-
-
 @dataclass(slots=True, frozen=True)
 class Lease:
-    """A slot that was lent; `is_trial` if to a neglected target."""
+    """A slot that was lent; `is_trial` if without fresh evidence."""
 
     grant: messages.SlotGrant
     lapses_us: int
@@ -91,7 +68,6 @@
         '_line',
         '_outcomes',
         '_placement',
-        '_refusing_until_us',
         '_repeats',
         '_service_us',
         '_spec',
@@ -112,8 +88,7 @@
         self._repeats = RepeatBudget(policy)
         self._service_us = float(DEFAULT_SERVICE_US)
         self._placement = PlacementState(now_us, DEFAULT_SERVICE_US)
-        self._outcomes: deque[Outcome] = deque()
-        self._refusing_until_us = 0
+        self._outcomes = RecentOutcomes()
         self._granted: dict[Holder, Lease] = {}
         self._crashes = CrashLedger(CRASHES_TO_REFUSE, CRASH_MEMORY_US)
 
@@ -187,16 +162,17 @@
         """Take a slot back and learn from its outcome."""
         holder = (host_id, report.ask_id)
         lease = self._granted.pop(holder, None)
-        is_trial = lease is not None and lease.is_trial
         record = self.records.get(report.target_id)
         if record is not None:
             record.release(holder)
             if record.spec.started_ms == report.started_ms:
                 self._learn(record, host_id, report, now_us)
         if report.outcome not in _INCONCLUSIVE:
-            # Failed trials must not cause further trials.
-            is_bad = report.outcome in _BAD_OUTCOMES and not is_trial
-            self._note_outcome(now_us, is_bad=is_bad)
+            is_served = report.outcome not in _BAD_OUTCOMES
+            if lease is not None and lease.is_trial:
+                self._outcomes.note_trial(now_us, is_served=is_served)
+            else:
+                self._outcomes.note(now_us, is_served=is_served)
         return self._serve_line(now_us)
 
     def cancel(self, host_id: str, ask_id: int, now_us: int) -> Step:
@@ -214,8 +190,7 @@
 
     def note_turned_away(self, now_us: int) -> None:
         """Count a request that was refused before it asked for a slot."""
-        outcome = Outcome(now_us, is_served=False, is_turned_away=True)
-        self._outcomes.append(outcome)
+        self._outcomes.note(now_us, is_served=False)
 
     def adopt(self, digest: messages.EvidenceDigest, now_us: int) -> None:
         """Merge the evidence of another broker."""
@@ -252,7 +227,7 @@
             self._release(*holder)
         step: Step = []
         for waiter in self._line.pop_expired(now_us):
-            self._note_outcome(now_us, is_bad=True)
+            self._outcomes.note(now_us, is_served=False)
             step.append(self._refuse_overload(waiter.host_id, waiter.ask))
         return [*step, *self._serve_line(now_us)]
 
@@ -266,13 +241,13 @@
         if not self._usable_slots():
             cause = RefusalCause.NO_TARGET
             wait_us = waiting.MIN_RETRY_AFTER_US
-            self._note_outcome(now_us, is_bad=True)
+            self._outcomes.note(now_us, is_served=False)
             return [self._refuse(host_id, request, cause, wait_us)]
         wait_us = 0
         if len(self._line):
             wait_us = self._expected_wait_us(request.priority)
         if waiting.is_hopeless(request, wait_us, self._each_us()):
-            self._note_outcome(now_us, is_bad=True)
+            self._outcomes.note(now_us, is_served=False)
             return [self._refuse_overload(host_id, request)]
         self._line.join(host_id, domain, request, now_us)
         step = self._serve_line(now_us)
@@ -286,7 +261,7 @@
         state = self._placement
         state.service_us = self._each_us()
         state.busy_slots = len(self._granted)
-        state.cover_share = self._cover_share(now_us)
+        state.demand = self._outcomes.demand(len(self.records), now_us)
         step: Step = []
         for waiter in self._line.ordered(now_us, self._each_us()):
             ask = _placement_ask(waiter, now_us)
@@ -307,7 +282,7 @@
         proven_age_us = now_us - record.served_us if is_proven else -1
         lapses_us = waiter.enqueued_us + ask.time_left_us + LEASE_SLACK_US
         holder = (waiter.host_id, ask.ask_id)
-        idle_since_us = record.last_grant_us
+        is_trial = is_stale(record, now_us)
         record.grant(holder, now_us)
         if ask.is_repeat:
             self._repeats.record_repeat(now_us)
@@ -321,12 +296,7 @@
             started_ms=record.spec.started_ms,
             proven_age_us=proven_age_us,
         )
-        is_neglected = now_us - idle_since_us > COVER_INTERVAL_US
-        self._granted[holder] = Lease(
-            grant,
-            lapses_us,
-            is_trial=bool(self._placement.cover_share) and is_neglected,
-        )
+        self._granted[holder] = Lease(grant, lapses_us, is_trial)
         return messages.SendHost(waiter.host_id, grant)
 
     def _learn(
@@ -372,28 +342,6 @@
             case _:
                 return
 
-    def _cover_share(self, now_us: int) -> float:
-        """Return the part of the sound targets that must be in use."""
-        horizon_us = now_us - STRUGGLING_WINDOW_US
-        while self._outcomes and self._outcomes[0].ended_us < horizon_us:
-            self._outcomes.popleft()
-        count = len(self._outcomes)
-        if count >= STRUGGLING_MIN_REQUESTS:
-            unserved = sum(not entry.is_served for entry in self._outcomes)
-            turned = sum(entry.is_turned_away for entry in self._outcomes)
-            is_limited = turned >= TURNED_AWAY_SHARE * count
-            if is_limited and unserved >= REFUSING_SHARE * count:
-                self._refusing_until_us = now_us + REFUSING_HOLD_US
-            elif unserved > STRUGGLING_SHARE * count:
-                return FAILING_COVER_SHARE
-        if now_us < self._refusing_until_us:
-            return REFUSING_COVER_SHARE
-        requests_per_s = count * SECOND_US / STRUGGLING_WINDOW_US
-        return calm_cover_share(len(self.records), requests_per_s)
-
-    def _note_outcome(self, now_us: int, *, is_bad: bool) -> None:
-        self._outcomes.append(Outcome(now_us, is_served=not is_bad))
-
     def _release(self, host_id: str, ask_id: int) -> None:
         known = self._granted.pop((host_id, ask_id), None)
         if known is None:
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -3,10 +3,8 @@
 Load pattern: about a third of the targets are bad at any moment, in spells
 of seconds, while requests that run at most once cannot be sent again. Work
 therefore concentrates on the targets that answered well most recently, and
-requests that may be repeated are the trials of all others. When a tenth of
-the requests fails nevertheless, targets that got nothing for a while are
-tried again, the least suspicious first, until most of them are in use: the
-few that look good may be the wrong ones.
+requests that may be repeated are the trials of all others. `cover.py` tells
+which targets are used again because most of them must stay in use.
 """
 
 from __future__ import annotations
@@ -14,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from foxtailreach.core.dispatch.cover import CoverDemand, neglected_targets
 from foxtailreach.core.dispatch.deployment import RequestKind
 from foxtailreach.core.dispatch.evidence import Standing, TargetRecord
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
@@ -32,17 +31,6 @@
 # A joined target that nobody tried gets a request after its warm-up.
 TRIAL_INTERVAL_US = SECOND_US
 JOINED_AFTER_US = 2 * SECOND_US
-# While a service struggles, most targets get a request this often: operators
-# ask for 0.7 of the sound ones in any 2 s.
-COVER_INTERVAL_US = 1800 * MILLISECOND_US
-FAILING_COVER_SHARE = 0.75
-# A target that failed by itself counts as sound again after this time.
-SOUND_AFTER_US = 2 * SECOND_US
-# A loss of hosts fails the requests under way, which can be over a tenth, with
-# no time to try other targets then. So most targets stay in use where the
-# trials take at most this part of the requests.
-CALM_COVER_SHARE = 0.75
-CALM_TRIAL_SHARE = 0.15
 # Proven slots per busy slot that keep a service calm without more trials.
 SPARE_FACTOR = 2
 
@@ -63,14 +51,13 @@
 class PlacementState:
     """What placement needs to know of a service.
 
-    `cover_share` is the part of the sound targets that must be in use now;
     `is_alone` means that the broker's host has lost contact to all others.
     """
 
     started_us: int
     service_us: int
     busy_slots: int = 0
-    cover_share: float = 0
+    demand: CoverDemand = CoverDemand()
     is_alone: bool = False
     last_trial_us: int = 0
 
@@ -92,10 +79,9 @@
         for record in records
         if record.standing(now_us, state.service_us) is Standing.PROVEN
     )
-    if state.cover_share:
-        neglected = _neglected(records, ask, state.cover_share, now_us)
-        if neglected is not None:
-            return neglected
+    neglected = _neglected(records, ask, state.demand, now_us)
+    if neglected is not None:
+        return neglected
     trial = _trial(groups[Standing.UNPROVEN], ask, state, now_us, proven_slots)
     if trial is not None:
         return trial
@@ -108,14 +94,6 @@
     return _oldest_failure(groups[Standing.SHUNNED])
 
 
-def calm_cover_share(targets: int, requests_per_s: float) -> float:
-    """Return the part of the targets to keep in use while all is well."""
-    trials_per_s = targets * SECOND_US / COVER_INTERVAL_US
-    if trials_per_s * CALM_COVER_SHARE > CALM_TRIAL_SHARE * requests_per_s:
-        return 0
-    return CALM_COVER_SHARE
-
-
 def _by_standing(
     records: list[TargetRecord],
     ask: PlacementAsk,
@@ -196,25 +174,13 @@
 def _neglected(
     records: list[TargetRecord],
     ask: PlacementAsk,
-    cover_share: float,
+    demand: CoverDemand,
     now_us: int,
 ) -> TargetRecord | None:
-    """Return a target to try again, unless most were used of late."""
-    sound = [
-        record
-        for record in records
-        if record.is_open and now_us - record.failed_us > SOUND_AFTER_US
-    ]
-    idle = [
-        record
-        for record in sound
-        if now_us - record.last_grant_us > COVER_INTERVAL_US
-    ]
-    if len(sound) - len(idle) >= cover_share * len(sound):
-        return None
+    """Return a target to use again, unless most were used of late."""
     candidates = [
         record
-        for record in idle
+        for record in neglected_targets(records, demand, now_us)
         if record.has_slot(now_us)
         and not record.granted
         and record.spec.target_id not in ask.excluded
@@ -223,8 +189,9 @@
         local = [
             record for record in candidates if record.spec.domain == ask.domain
         ]
-        candidates = local or candidates
-    return _oldest_failure(candidates)
+        if local or not demand.is_failing:
+            candidates = local
+    return candidates[0] if candidates else None
 
 
 def _oldest_failure(records: list[TargetRecord]) -> TargetRecord | None:
