Stop placing waiting requests once no slot is free

Change: the line is left as soon as no target has a slot, and one pass over the targets gives both their groups and the proven slots. Shown by a test that fails before: 20 slots, 300 waiting requests, one answer.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -264,12 +264,17 @@
         state.demand = self._outcomes.demand(len(self.records), now_us)
         step: Step = []
         for waiter in self._line.ordered(now_us, self._each_us()):
+            if not self._has_free_slot(now_us):
+                break
             ask = _placement_ask(waiter, now_us)
             record = choose_target(self.records.values(), ask, state, now_us)
             if record is not None:
                 step.append(self._grant(waiter, record, now_us))
         return step
 
+    def _has_free_slot(self, now_us: int) -> bool:
+        return any(record.has_slot(now_us) for record in self.records.values())
+
     def _grant(
         self,
         waiter: waiting.Waiter,
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -73,12 +73,7 @@
     if state.is_alone:
         # Other hosts may use up the warm-up rate of a cold target.
         records = [record for record in records if not record.is_cold(now_us)]
-    groups = _by_standing(records, ask, state, now_us)
-    proven_slots = sum(
-        record.spec.slots
-        for record in records
-        if record.standing(now_us, state.service_us) is Standing.PROVEN
-    )
+    groups, proven_slots = _survey(records, ask, state, now_us)
     neglected = _neglected(records, ask, state.demand, now_us)
     if neglected is not None:
         return neglected
@@ -94,22 +89,25 @@
     return _oldest_failure(groups[Standing.SHUNNED])
 
 
-def _by_standing(
+def _survey(
     records: list[TargetRecord],
     ask: PlacementAsk,
     state: PlacementState,
     now_us: int,
-) -> dict[Standing, list[TargetRecord]]:
-    """Group the targets that may get the request now."""
+) -> tuple[dict[Standing, list[TargetRecord]], int]:
+    """Group the targets that may get the request; count proven slots."""
     groups: dict[Standing, list[TargetRecord]] = {
         standing: [] for standing in Standing
     }
+    proven_slots = 0
     for record in records:
+        standing = record.standing(now_us, state.service_us)
+        if standing is Standing.PROVEN:
+            proven_slots += record.spec.slots
         is_allowed = record.spec.target_id not in ask.excluded
         if is_allowed and record.has_slot(now_us):
-            standing = record.standing(now_us, state.service_us)
             groups[standing].append(record)
-    return groups
+    return groups, proven_slots
 
 
 def _trial(
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import pytest
 
+from foxtailreach.core.dispatch import broker as broker_module
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import RequestKind
+from foxtailreach.core.dispatch.evidence import TargetRecord
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.dispatch.placement import choose_target
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.tests.dispatch.fixtures import (
     SERVICE,
@@ -283,6 +287,29 @@
             assert len(recent) >= 0.7 * 19
 
 
+def test_full_service_does_not_look_for_a_target_for_each_waiter(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A burst leaves 300 requests waiting for 20 slots."""
+    broker = create_broker(10)
+    now_us = START_US
+    running: list[messages.SlotGrant] = []
+    for ask_id in range(320):
+        request = slot_request(ask_id, time_left_us=60 * SECOND_US)
+        running += grants(broker.ask('h1', 'd1', request, now_us))
+    assert len(running) == 20
+    looks = []
+
+    def choose(*args: Any) -> TargetRecord | None:
+        looks.append(args)
+        return choose_target(*args)
+
+    monkeypatch.setattr(broker_module, 'choose_target', choose)
+    step = broker.report('h1', slot_report(running[0]), now_us + 220_000)
+    assert len(grants(step)) == 1
+    assert len(looks) == 1
+
+
 def test_download_stays_in_its_domain_while_it_can() -> None:
     broker = create_broker(0)
     targets = [spec(0, domain='d1'), spec(1, domain='d2')]
