--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -226,7 +226,10 @@
                 return list(self._brokers.cancel(sender, message, now_us))
             case messages.ChargeRequest():
                 return self._charged(sender, message, now_us)
-            case messages.EvidenceDigest() | messages.TurnedAway():
+            case messages.EvidenceDigest():
+                self._brokers.hear(message, now_us)
+                return self._relay_digest(sender, message)
+            case messages.TurnedAway():
                 self._brokers.hear(message, now_us)
             case messages.MeterHandover():
                 self._meters.take_over(message, now_us)
@@ -240,13 +243,40 @@
         """Let time pass for heartbeats, leases and waiting requests."""
         step = self._spread(self.membership.tick(now_us, 0))
         step.extend(self._watch_membership(now_us))
-        step.extend(self._brokers.tick(self.membership.others(), now_us))
+        step.extend(self._brokers.tick(self._digest_listeners(), now_us))
         return step
 
     def queue_lengths(self) -> dict[str, int]:
         """Return how many requests wait for each brokered service."""
         return self._brokers.queue_lengths()
 
+    def _digest_listeners(self) -> list[str]:
+        """Name the hosts of this domain, and one of each other domain.
+
+        Bytes between domains are dear, so that one host passes a digest on.
+        It is drawn anew each time, as it may be lost or cut off.
+        """
+        others: dict[str, list[str]] = {}
+        for host_id in self.membership.others():
+            others.setdefault(self._domain_of(host_id), []).append(host_id)
+        listeners = others.pop(self._config.entry.domain, [])
+        return [*listeners, *(self._rng.choice(far) for far in others.values())]
+
+    def _relay_digest(
+        self,
+        sender: str,
+        digest: messages.EvidenceDigest,
+    ) -> Effects:
+        """Pass evidence from another domain on within this one."""
+        domain = self._config.entry.domain
+        if self._domain_of(sender) == domain:
+            return []
+        return [
+            messages.SendHost(host_id, digest)
+            for host_id in self.membership.others()
+            if self._domain_of(host_id) == domain
+        ]
+
     def _ranked(self, subject: str, now_us: int) -> list[str]:
         hosts = [
             host_id
--- a/foxtailreach/tests/dispatch/fleet_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_tests.py
@@ -22,16 +22,16 @@
 )
 from foxtailreach.tests.dispatch.meters_tests import POLICY as LIMITS
 
-NAMES = ('h1', 'h2')
+Fleet = dict[str, FleetNode]
 CUSTOMER = CustomerSpec('c', rate_per_s=10, burst_requests=10)
 DEPLOYMENT = Deployment(1, {}, {'svc': SERVICE}, {'c': CUSTOMER})
 
 
-def create_fleet() -> dict[str, FleetNode]:
-    """Create two hosts that know each other, targets and a customer."""
+def create_fleet(domains: tuple[str, ...] = ('d1', 'd1')) -> Fleet:
+    """Create hosts that know each other, targets and a customer."""
     entries = [
-        gossip.HostEntry(name, 'd1', f'10.0.0.{index}', 7000)
-        for index, name in enumerate(NAMES)
+        gossip.HostEntry(f'h{index}', domain, f'10.0.0.{index}', 7000)
+        for index, domain in enumerate(domains, start=1)
     ]
     fleet = {}
     for entry in entries:
@@ -120,3 +120,42 @@
     ping = gossip.Ping(1, 1, 0, 0)
     node.receive('h2', ping, START_US + 2 * SECOND_US)
     assert not node.is_isolated(START_US + 2 * SECOND_US + 1)
+
+
+def test_evidence_crosses_to_each_other_domain_once() -> None:
+    """135 hosts in 3 domains: copies to all were half of the dear bytes."""
+    fleet = create_fleet(('d1', 'd1', 'd2', 'd2', 'd2', 'd3', 'd3', 'd3'))
+    domains = {
+        name: node.membership.hosts[name].entry.domain
+        for name, node in fleet.items()
+    }
+    broker_id = fleet['h1'].broker_hosts('svc', START_US)[0]
+    broker = fleet[broker_id]
+    broker.receive('h1', slot_request(1), START_US)
+    later_us = START_US + 3 * SECOND_US
+    broker.receive('h1', slot_request(2), later_us)
+    pending = [
+        (broker_id, effect)
+        for effect in broker.tick(later_us + 1)
+        if _is_digest(effect)
+    ]
+    crossings, reached = [], []
+    while pending:
+        sender, effect = pending.pop()
+        assert isinstance(effect, messages.SendHost)
+        reached.append(effect.host_id)
+        if domains[sender] != domains[effect.host_id]:
+            crossings.append(domains[effect.host_id])
+        step = fleet[effect.host_id].receive(sender, effect.message, later_us)
+        pending += [(effect.host_id, one) for one in step if _is_digest(one)]
+    assert sorted(crossings) == sorted(
+        {*domains.values()} - {domains[broker_id]}
+    )
+    assert sorted(reached) == sorted(fleet.keys() - {broker_id})
+
+
+def _is_digest(effect: object) -> bool:
+    return isinstance(effect, messages.SendHost) and isinstance(
+        effect.message,
+        messages.EvidenceDigest,
+    )
