--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -110,7 +110,7 @@
     def notice(self, sender: str, message: messages.StateNotice) -> None:
         """Hear from another host; pull if it knows more."""
         now_us = elapsed_us()
-        if self._domain_of(sender) == self._entry.domain:
+        if self._is_near(sender):
             self._node.election.record_notice(
                 sender,
                 now_us,
@@ -120,8 +120,12 @@
             asyncio.ensure_future(self._pull(sender))
 
     def welcome(self, host_id: str) -> None:
-        """Tell a host that introduced itself which state there is."""
-        self._peers.send(host_id, self._notice(elapsed_us()))
+        """Tell a host of this domain which state there is.
+
+        Hosts of other domains copy the state within their own.
+        """
+        if self._is_near(host_id):
+            self._peers.send(host_id, self._notice(elapsed_us()))
 
     async def _register(self) -> None:
         """Write this host to the store, and introduce it to the others."""
@@ -338,7 +342,7 @@
         others = [
             host_id
             for host_id in self._node.membership.usable_hosts()
-            if self._domain_of(host_id) != self._entry.domain
+            if not self._is_near(host_id)
         ]
         if others:
             await self._pull(self._rng.choice(others))
@@ -393,7 +397,7 @@
     def _tell_domain(self) -> None:
         notice = self._notice(elapsed_us())
         for host_id in self._node.membership.others():
-            if self._domain_of(host_id) == self._entry.domain:
+            if self._is_near(host_id):
                 self._peers.send(host_id, notice)
 
     def _notice(self, now_us: int) -> messages.StateNotice:
@@ -403,6 +407,7 @@
             is_reading=self.is_store_up and bool(self.read_us),
         )
 
-    def _domain_of(self, host_id: str) -> str:
+    def _is_near(self, host_id: str) -> bool:
+        """Whether a host is in this host's failure domain."""
         state = self._node.membership.hosts.get(host_id)
-        return '' if state is None else state.entry.domain
+        return state is not None and state.entry.domain == self._entry.domain
--- a/foxtailreach/tests/platform/feed_tests.py
+++ b/foxtailreach/tests/platform/feed_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+import pytest
 from tornado.testing import bind_unused_port
 
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
@@ -72,3 +73,32 @@
         assert node.deployment is not None
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ('domain', 'notices'),
+    [('north', 1), ('south', 0)],
+)
+def test_new_host_hears_of_the_state_within_its_domain_only(
+    domain: str,
+    notices: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A fleet starts at once; copies between domains would be dear."""
+    sent: list[str] = []
+    own = settings('h0', 1)
+    config = FleetConfig(own.entry, 1, POLICY, LIMITS)
+    node = FleetNode.from_config(config, random.Random(1), elapsed_us())
+    node.update_hosts([HostEntry('h1', domain, '127.0.0.1', 2)], elapsed_us())
+    peers = PeerEndpoint(lambda sender, message: None)
+    monkeypatch.setattr(peers, 'send', lambda host_id, _: sent.append(host_id))
+    feed = PlatformFeed(
+        own,
+        StoreClient(own.store),
+        node,
+        peers,
+        random.Random(1),
+        lambda step: None,
+    )
+    feed.welcome('h1')
+    assert len(sent) == notices
