Keep downloads in their domain while a target there can be tried

Change: a download that may be repeated takes a proven or untried target of its domain first; its last try takes a proven one anywhere and covers nothing.

--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -80,6 +80,9 @@
     trial = _trial(groups[Standing.UNPROVEN], ask, state, now_us, proven_slots)
     if trial is not None:
         return trial
+    local = _local_download(groups, ask, now_us)
+    if local is not None:
+        return local
     if groups[Standing.PROVEN]:
         return _best(groups[Standing.PROVEN], ask, now_us)
     if proven_slots and not ask.may_repeat and ask.waited_us < PROVEN_WAIT_US:
@@ -141,6 +144,30 @@
     return None
 
 
+def _local_download(
+    groups: dict[Standing, list[TargetRecord]],
+    ask: PlacementAsk,
+    now_us: int,
+) -> TargetRecord | None:
+    """Return a target of the caller's domain for a download.
+
+    Load pattern: large answers whose domain has targets without fresh
+    evidence. A failed try costs a repeat, the bytes from another domain a
+    third of the request's worth.
+    """
+    if ask.kind is not RequestKind.DOWNLOAD or not ask.may_repeat:
+        return None
+    for standing in (Standing.PROVEN, Standing.UNPROVEN):
+        local = [
+            record
+            for record in groups[standing]
+            if record.spec.domain == ask.domain
+        ]
+        if local:
+            return _best(local, ask, now_us)
+    return None
+
+
 def _best(
     records: list[TargetRecord],
     ask: PlacementAsk,
@@ -175,7 +202,12 @@
     demand: CoverDemand,
     now_us: int,
 ) -> TargetRecord | None:
-    """Return a target to use again, unless most were used of late."""
+    """Return a target to use again, unless most were used of late.
+
+    The last try of a request that could be repeated is no trial.
+    """
+    if ask.kind.is_repeatable and not ask.may_repeat:
+        return None
     candidates = [
         record
         for record in neglected_targets(records, demand, now_us)
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -325,6 +325,31 @@
     assert set(chosen) == {'t1'}
 
 
+@pytest.mark.parametrize(
+    ('may_repeat', 'chosen_id'),
+    [(True, 't1'), (False, 't0')],
+)
+def test_download_risks_an_unproven_target_only_while_it_may_repeat(
+    may_repeat: bool,
+    chosen_id: str,
+) -> None:
+    """The only proven target is in another domain."""
+    broker = create_broker(0)
+    targets = [spec(0, domain='d1'), spec(1, domain='d2')]
+    broker.update_targets(SERVICE, targets, frozenset(), START_US)
+    grant = grants(broker.ask('h1', 'd1', slot_request(1), START_US))[0]
+    assert grant.target_id == 't0'
+    now_us = START_US + 250 * MILLISECOND_US
+    broker.report('h1', slot_report(grant), now_us)
+    request = slot_request(
+        2,
+        kind=RequestKind.DOWNLOAD,
+        may_repeat=may_repeat,
+    )
+    step = broker.ask('h2', 'd2', request, now_us + 1)
+    assert grants(step)[0].target_id == chosen_id
+
+
 def test_next_broker_starts_with_the_evidence_of_the_last() -> None:
     first, second = create_broker(3), create_broker(3)
     grant = grants(first.ask('h1', 'd1', slot_request(1), START_US))[0]
