Say that a request has not run only if no attempt can have run it

Cause: the answer after a refused slot or a failed connection looked at the last attempt only. Change: a request remembers the newest answer after which it may have run. Shown by a table of attempts; four of its rows fail before.

--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -43,6 +43,9 @@
 # The answer must leave this long before the caller gives up.
 ANSWER_MARGIN_US = 20 * MILLISECOND_US
 _FINGERPRINT_BITS = 63
+_MAY_HAVE_RUN = frozenset(
+    (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.TIMED_OUT),
+)
 _US_PER_MS = 1000
 
 Record = Callable[[RequestTrace, CallerAnswer, int], None]
@@ -63,7 +66,8 @@
     excluded: set[str] = field(default_factory=set)
     sends: int = 0
     unsent_tries: int = 0
-    last: TargetAnswer | None = None
+    # The newest answer after which the request may have run.
+    may_have_run: TargetAnswer | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -211,7 +215,8 @@
             if isinstance(slot, messages.SlotRefused):
                 return _refused(journey, slot)
             answer = await self._attempt(journey, slot, asked_us)
-            journey.last = answer
+            if answer.outcome in _MAY_HAVE_RUN:
+                journey.may_have_run = answer
             if not self._may_go_on(journey, answer):
                 return _final(journey, answer)
 
@@ -309,30 +314,17 @@
 
 
 def _final(journey: Journey, answer: TargetAnswer) -> CallerAnswer:
-    """Turn the last attempt's end into the caller's answer."""
-    match answer.outcome:
-        case SendOutcome.SERVED:
-            return _passed_on(answer, Verdict.RAN, None)
-        case SendOutcome.FAILED:
-            verdict = Verdict.MAY_HAVE_RUN
-            return _passed_on(answer, verdict, Reason.TARGET_FAILED)
-        case SendOutcome.TIMED_OUT:
-            return _timed_out(journey)
-        case SendOutcome.LOST:
-            return _lost()
-        case _:
-            return _not_run(Reason.NO_TARGET, NOT_READY_RETRY_US)
+    """Turn the end of the last attempt into the caller's answer."""
+    if answer.outcome is SendOutcome.SERVED:
+        return _passed_on(answer, Verdict.RAN, None)
+    return _unserved(journey, _not_run(Reason.NO_TARGET, NOT_READY_RETRY_US))
 
 
 def _refused(
     journey: Journey,
     refused: messages.SlotRefused,
 ) -> CallerAnswer:
-    """Answer after a broker refused; an earlier attempt may have run."""
-    last = journey.last
-    if last is not None:
-        if last.outcome in {SendOutcome.FAILED, SendOutcome.LOST}:
-            return _final(journey, last)
+    """Answer after a broker refused."""
     reason = Reason.OVERLOAD
     if refused.cause is RefusalCause.QUARANTINED:
         reason = Reason.QUARANTINED
@@ -340,23 +332,30 @@
         reason = Reason.NO_TARGET
     elif refused.cause is RefusalCause.NOT_READY:
         reason = Reason.NO_CONFIGURATION
-    return _not_run(reason, refused.retry_after_us)
+    return _unserved(journey, _not_run(reason, refused.retry_after_us))
 
 
 def _timed_out(journey: Journey) -> CallerAnswer:
-    last = journey.last
-    if last is not None and last.outcome in {
-        SendOutcome.FAILED,
-        SendOutcome.LOST,
-    }:
-        return _final(journey, last)
-    if last is not None and last.outcome is SendOutcome.TIMED_OUT:
-        return refusal(
-            HTTPStatus.GATEWAY_TIMEOUT,
-            Verdict.MAY_HAVE_RUN,
-            Reason.DEADLINE,
-        )
-    return _not_run(Reason.DEADLINE, NOT_READY_RETRY_US)
+    return _unserved(journey, _not_run(Reason.DEADLINE, NOT_READY_RETRY_US))
+
+
+def _unserved(journey: Journey, not_run: CallerAnswer) -> CallerAnswer:
+    """Return `not_run` only if no attempt can have run the request."""
+    earlier = journey.may_have_run
+    if earlier is None:
+        return not_run
+    match earlier.outcome:
+        case SendOutcome.FAILED:
+            verdict = Verdict.MAY_HAVE_RUN
+            return _passed_on(earlier, verdict, Reason.TARGET_FAILED)
+        case SendOutcome.TIMED_OUT:
+            return refusal(
+                HTTPStatus.GATEWAY_TIMEOUT,
+                Verdict.MAY_HAVE_RUN,
+                Reason.DEADLINE,
+            )
+        case _:
+            return _lost()
 
 
 def _lost() -> CallerAnswer:
--- /dev/null
+++ b/foxtailreach/tests/gateway/proxy_tests.py
@@ -0,0 +1,158 @@
+"""What a caller is told after several attempts that ended differently."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from http import HTTPStatus
+
+import pytest
+
+from foxtailreach.core.dispatch import messages
+from foxtailreach.core.dispatch.deployment import (
+    Deployment,
+    RequestKind,
+    RouteSpec,
+    ServiceShare,
+    index_routes,
+)
+from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
+from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.messages import HostEntry
+from foxtailreach.core.units import SECOND_US
+from foxtailreach.core.verdict import Verdict
+from foxtailreach.daemon.clock import elapsed_us
+from foxtailreach.gateway.asking import Slot
+from foxtailreach.gateway.proxy import Proxy
+from foxtailreach.gateway.upstream import TargetAnswer
+from foxtailreach.gateway.wire import CallerAnswer, CallerRequest
+from foxtailreach.tests.dispatch.fixtures import POLICY, SERVICE, spec
+from foxtailreach.tests.dispatch.meters_tests import POLICY as LIMITS
+
+ROUTE = RouteSpec(
+    name='r',
+    host='h',
+    path_prefix='/',
+    kind=RequestKind.IDEMPOTENT,
+    shares=(ServiceShare('svc', 1),),
+    objective_us=SECOND_US,
+    max_attempts=3,
+    is_open=True,
+)
+
+
+class ScriptedFleet:
+    """Grants slots and ends the attempts on them as scripted."""
+
+    def __init__(self, outcomes: list[SendOutcome]) -> None:
+        """Refuse the slot after the last outcome."""
+        self._outcomes = outcomes
+
+    async def acquire(
+        self,
+        draft: messages.SlotRequest,
+        deadline_us: int,
+    ) -> Slot | messages.SlotRefused:
+        """Grant a slot while outcomes are left."""
+        if not self._outcomes:
+            return messages.SlotRefused(1, RefusalCause.REPEAT_BUDGET, 1000)
+        grant = messages.SlotGrant(1, 't0', '10.0.0.1', 8000, 0, 0)
+        return Slot(grant, 'h1')
+
+    def report(self, slot: Slot, report: messages.SlotReport) -> None:
+        """Ignore the report."""
+
+    def connected_targets(self, now_us: int) -> tuple[str, ...]:
+        """Hold no connections."""
+        return ()
+
+    async def send(
+        self,
+        request: CallerRequest,
+        grant: messages.SlotGrant,
+        customer: str,
+        deadline_us: int,
+        *,
+        is_repeatable: bool,
+    ) -> TargetAnswer:
+        """End an attempt as scripted."""
+        outcome = self._outcomes.pop(0)
+        status = 500 if outcome is SendOutcome.FAILED else 0
+        return TargetAnswer(outcome, status=status)
+
+
+def serve(outcomes: list[SendOutcome]) -> CallerAnswer:
+    """Send one request whose attempts end with the given outcomes."""
+    entry = HostEntry('h1', 'd1', '10.0.0.1', 7000)
+    now_us = elapsed_us()
+    node = FleetNode.from_config(
+        FleetConfig(entry, 1, POLICY, LIMITS),
+        random.Random(1),
+        now_us,
+    )
+    deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
+    node.update_state(deployment, [spec(0)], frozenset(), now_us)
+    fleet = ScriptedFleet(outcomes)
+    proxy = Proxy(
+        node,
+        fleet,  # type: ignore[arg-type]
+        fleet,  # type: ignore[arg-type]
+        lambda customer, route: 0,
+        lambda trace, answer, latency_us: None,
+        random.Random(1),
+    )
+    request = CallerRequest(
+        method=b'GET',
+        path=b'/x',
+        headers=[(b'host', b'h')],
+        body=b'',
+        request_id='1',
+        key='',
+        time_left_us=SECOND_US,
+        received_us=now_us,
+    )
+    return asyncio.run(proxy.handle(request))
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'status', 'verdict'),
+    [
+        ([], HTTPStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN),
+        (['misdirected'], HTTPStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN),
+        (
+            ['unreachable'] * 3,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Verdict.NOT_RUN,
+        ),
+        (['failed'], HTTPStatus.INTERNAL_SERVER_ERROR, Verdict.MAY_HAVE_RUN),
+        (
+            ['failed', 'unreachable'],
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            Verdict.MAY_HAVE_RUN,
+        ),
+        (
+            ['failed', 'unreachable', 'unreachable', 'unreachable'],
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            Verdict.MAY_HAVE_RUN,
+        ),
+        (
+            ['failed', 'shed'],
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            Verdict.MAY_HAVE_RUN,
+        ),
+        (['lost', 'shed'], HTTPStatus.BAD_GATEWAY, Verdict.MAY_HAVE_RUN),
+        (
+            ['lost', 'timed-out'],
+            HTTPStatus.GATEWAY_TIMEOUT,
+            Verdict.MAY_HAVE_RUN,
+        ),
+        (['failed', 'served'], 0, Verdict.RAN),
+    ],
+)
+def test_not_run_is_said_only_if_no_attempt_can_have_run(
+    outcomes: list[str],
+    status: int,
+    verdict: Verdict,
+) -> None:
+    answer = serve([SendOutcome(name) for name in outcomes])
+    assert (answer.status, answer.verdict) == (status, verdict)
