Leave repeats to requests whose target fails

Change: with less than 0.3 of the allowance left such requests go to proven targets, as those that run once do.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -266,12 +266,29 @@
         for waiter in self._line.ordered(now_us, self._each_us()):
             if not self._has_free_slot(now_us):
                 break
-            ask = _placement_ask(waiter, now_us)
+            ask = self._placement_ask(waiter, now_us)
             record = choose_target(self.records.values(), ask, state, now_us)
             if record is not None:
                 step.append(self._grant(waiter, record, now_us))
         return step
 
+    def _placement_ask(
+        self,
+        waiter: waiting.Waiter,
+        now_us: int,
+    ) -> PlacementAsk:
+        ask = waiter.ask
+        may_try = ask.may_repeat and self._repeats.allows_trials(now_us)
+        return PlacementAsk(
+            domain=waiter.domain,
+            kind=ask.kind,
+            may_repeat=ask.may_repeat,
+            may_try=may_try,
+            waited_us=now_us - waiter.enqueued_us,
+            connected=frozenset(ask.connected),
+            excluded=frozenset(ask.excluded),
+        )
+
     def _has_free_slot(self, now_us: int) -> bool:
         return any(record.has_slot(now_us) for record in self.records.values())
 
@@ -404,17 +421,6 @@
         return messages.SendHost(host_id, refusal)
 
 
-def _placement_ask(waiter: waiting.Waiter, now_us: int) -> PlacementAsk:
-    return PlacementAsk(
-        domain=waiter.domain,
-        kind=waiter.ask.kind,
-        may_repeat=waiter.ask.may_repeat,
-        waited_us=now_us - waiter.enqueued_us,
-        connected=frozenset(waiter.ask.connected),
-        excluded=frozenset(waiter.ask.excluded),
-    )
-
-
 def _age_us(moment_us: int, now_us: int) -> int:
     return now_us - moment_us if moment_us else -1
 
--- a/foxtailreach/core/dispatch/budgets.py
+++ b/foxtailreach/core/dispatch/budgets.py
@@ -55,6 +55,10 @@
         self._level = min(self.burst, self._level + earned)
 
 
+# Part of the allowance that trials leave to requests whose target fails.
+REPEAT_RESERVE_SHARE = 0.3
+
+
 @dataclass(slots=True, frozen=True)
 class RepeatPolicy:
     """Bound on repeated sends of a service in a sliding window."""
@@ -68,7 +72,9 @@
     """Allows repeats while they are few against the first sends.
 
     Load pattern: many targets fail at once, so that each request wants a
-    second target and the repeats would double the load.
+    second target and the repeats would double the load. Requests that may be
+    repeated are then sent to proven targets and are no longer trials, before
+    the allowance is used up and a failed one cannot be repeated.
     """
 
     __slots__ = ('_firsts', '_policy', '_repeats')
@@ -89,9 +95,16 @@
 
     def allows_repeat(self, now_us: int) -> bool:
         """Whether one repeat more stays within the bound."""
+        return len(self._repeats) + 1 <= self._allowed(now_us)
+
+    def allows_trials(self, now_us: int) -> bool:
+        """Whether a request may risk a repeat."""
+        unreserved = (1 - REPEAT_RESERVE_SHARE) * self._allowed(now_us)
+        return len(self._repeats) + 1 <= unreserved
+
+    def _allowed(self, now_us: int) -> float:
         self._expire(now_us)
-        allowed = self._policy.ratio * len(self._firsts) + self._policy.slack
-        return len(self._repeats) + 1 <= allowed
+        return self._policy.ratio * len(self._firsts) + self._policy.slack
 
     def _expire(self, now_us: int) -> None:
         horizon_us = now_us - self._policy.window_us
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -37,11 +37,16 @@
 
 @dataclass(slots=True, frozen=True)
 class PlacementAsk:
-    """What placement needs to know of a request."""
+    """What placement needs to know of a request.
+
+    `may_try` tells whether it may be sent to a target without fresh evidence
+    while there are proven ones: it may be repeated, and repeats are left.
+    """
 
     domain: str
     kind: RequestKind
     may_repeat: bool
+    may_try: bool
     waited_us: int
     connected: frozenset[str]
     excluded: frozenset[str]
@@ -85,7 +90,7 @@
         return local
     if groups[Standing.PROVEN]:
         return _best(groups[Standing.PROVEN], ask, now_us)
-    if proven_slots and not ask.may_repeat and ask.waited_us < PROVEN_WAIT_US:
+    if proven_slots and not ask.may_try and ask.waited_us < PROVEN_WAIT_US:
         return None
     if groups[Standing.UNPROVEN]:
         return _best(groups[Standing.UNPROVEN], ask, now_us)
@@ -129,10 +134,10 @@
         and record.first_seen_us > state.started_us + JOINED_AFTER_US
     ]
     is_due = now_us - state.last_trial_us > TRIAL_INTERVAL_US
-    if joined and (ask.may_repeat or is_due):
+    if joined and (ask.may_try or is_due):
         state.last_trial_us = now_us
         return _best(joined, ask, now_us)
-    if not ask.may_repeat:
+    if not ask.may_try:
         return None
     if ask.kind is RequestKind.DOWNLOAD:
         unproven = [
@@ -155,7 +160,7 @@
     evidence. A failed try costs a repeat, the bytes from another domain a
     third of the request's worth.
     """
-    if ask.kind is not RequestKind.DOWNLOAD or not ask.may_repeat:
+    if ask.kind is not RequestKind.DOWNLOAD or not ask.may_try:
         return None
     for standing in (Standing.PROVEN, Standing.UNPROVEN):
         local = [
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -350,6 +350,36 @@
     assert grants(step)[0].target_id == chosen_id
 
 
+@pytest.mark.parametrize(
+    ('repeats', 'is_trial'),
+    [(0, True), (25, False)],
+)
+def test_trials_leave_repeats_to_requests_whose_target_fails(
+    repeats: int,
+    is_trial: bool,
+) -> None:
+    """The allowance is 30 repeats; a fifth of the trials needs one."""
+    broker = create_broker(8)
+    now_us = START_US
+    for ask_id in range(repeats):
+        request = slot_request(ask_id, is_repeat=True)
+        grant = grants(broker.ask('h1', 'd1', request, now_us))[0]
+        broker.cancel('h1', grant.ask_id, now_us)
+    proven = grants(broker.ask('h1', 'd1', slot_request(100), now_us))[0]
+    now_us += 250 * MILLISECOND_US
+    broker.report('h1', slot_report(proven), now_us)
+    chosen = []
+    for ask_id in (101, 102):
+        request = slot_request(
+            ask_id,
+            kind=RequestKind.IDEMPOTENT,
+            may_repeat=True,
+        )
+        grant = grants(broker.ask('h1', 'd1', request, now_us + 1))[0]
+        chosen.append(grant.target_id)
+    assert (set(chosen) != {proven.target_id}) is is_trial
+
+
 def test_next_broker_starts_with_the_evidence_of_the_last() -> None:
     first, second = create_broker(3), create_broker(3)
     grant = grants(first.ask('h1', 'd1', slot_request(1), START_US))[0]
