--- a/foxtailreach/core/dispatch/cover.py
+++ b/foxtailreach/core/dispatch/cover.py
@@ -5,8 +5,8 @@
 over a tenth of the requests fails within a second, and operators ask that at
 least 0.7 of the sound targets are in use during any 2 s of that kind. There
 is no time to try others then, so they are tried all along, as few as will do
-while all is well and more as soon as failures rise. Nobody can see
-which targets are sound; each counts by the chance that it is.
+while all is well and more as soon as failures rise. Nobody can see which
+targets are sound; each counts by the chance that it is.
 """
 
 from __future__ import annotations
@@ -32,6 +32,7 @@
 # Operators judge at a tenth; a rise is noticed here within a second.
 FAILING_SHARE = 0.06
 FAILING_WINDOW_US = 1500 * MILLISECOND_US
+# One failure of fewer requests says little about the share.
 MIN_REQUESTS = 8
 # With fewer requests than this for each target the floor is out of reach, and
 # trials would only spoil requests.
