--- a/foxtailreach/tests/dispatch/cover_tests.py
+++ b/foxtailreach/tests/dispatch/cover_tests.py
@@ -64,14 +64,22 @@
 
 
 @pytest.mark.parametrize(
-    'load',
-    [MIDDLE, FEW_BUSY, BUSY, LARGE, REPEATABLE],
-    ids=['25-a-s', 'few-busy', 'busy', 'large', 'repeatable'],
+    ('load', 'judged'),
+    [
+        (MIDDLE, 25),
+        (FEW_BUSY, 19),
+        (BUSY, 19),
+        (LARGE, 80),
+        # 22 sound targets of 150 were judged in a day with lossy paths.
+        (LARGE, 22),
+        (REPEATABLE, 9),
+    ],
+    ids=['25-a-s', 'few-busy', 'busy', 'large', 'large-few', 'repeatable'],
 )
-def test_most_sound_targets_stay_in_use(load: SpellLoad) -> None:
+def test_most_sound_targets_stay_in_use(load: SpellLoad, judged: int) -> None:
     """Operators ask for 0.7 of them while over a tenth is not served.
 
     Which targets are sound is an estimate, so one window in 200 may miss.
     """
-    breaks = [replay(load, seed).floor_breaks() for seed in range(4)]
+    breaks = [replay(load, seed).floor_breaks(judged) for seed in range(4)]
     assert statistics.mean(breaks) <= 0.005
--- a/foxtailreach/tests/dispatch/spells.py
+++ b/foxtailreach/tests/dispatch/spells.py
@@ -72,17 +72,27 @@
         """Return the share of sends that failed."""
         return sum(send.is_failed for send in self.sends) / len(self.sends)
 
-    def floor_breaks(self) -> float:
-        """Return the share of windows in which the floor is broken."""
+    def floor_breaks(self, judged: int) -> float:
+        """Return the share of windows in which the floor is broken.
+
+        At most `judged` of the sound targets count; the others were disturbed
+        in some other way.
+        """
+        rng = random.Random(judged)
         windows = breaks = 0
         end_s = SETTLED_S
         while end_s < self.sends[-1].at_s:
             windows += 1
-            breaks += self._breaks_floor(end_s)
+            breaks += self._breaks_floor(end_s, judged, rng)
             end_s += WINDOW_STEP_S
         return breaks / windows
 
-    def _breaks_floor(self, end_s: float) -> bool:
+    def _breaks_floor(
+        self,
+        end_s: float,
+        judged: int,
+        rng: random.Random,
+    ) -> bool:
         window = [
             send for send in self.sends if end_s - WINDOW_S <= send.at_s < end_s
         ]
@@ -96,6 +106,7 @@
         ]
         if not window or not sound:
             return False
+        sound = rng.sample(sound, min(judged, len(sound)))
         used = {send.target for send in window}
         used_share = sum(index in used for index in sound) / len(sound)
         failed_share = sum(send.is_failed for send in window) / len(window)
