Name the host that metered a request in its log line

The lines of the incident tell that a charge waited for 0.14 s, but not which host answered it in the end; a second meter of the same customer could only be inferred. 'explain' prints it too.

--- a/foxtailreach/gateway/fleet_client.py
+++ b/foxtailreach/gateway/fleet_client.py
@@ -50,6 +50,18 @@
     broker: str
 
 
+@dataclass(slots=True, frozen=True)
+class Charge:
+    """Result of a charge, and the host that metered it.
+
+    `meter` is '' if no host did: the customer has no limit, or this host used
+    its own share.
+    """
+
+    result: messages.ChargeResult
+    meter: str = ''
+
+
 class FleetClient:
     """Sends slot and charge requests to other hosts and awaits the replies."""
 
@@ -68,21 +80,23 @@
         if queue is not None:
             queue.put_nowait(reply)
 
-    async def charge(self, customer: CustomerSpec) -> messages.ChargeResult:
+    async def charge(self, customer: CustomerSpec) -> Charge:
         """Charge one request to a customer's fleet-wide limit.
 
         Without a reply, charge it to this host's share of the limit.
         """
         if not customer.rate_per_s:
-            return messages.ChargeResult(0, messages.Admission.WITHIN_LIMIT, 0)
+            return Charge(
+                messages.ChargeResult(0, messages.Admission.WITHIN_LIMIT, 0)
+            )
         ask_id = next(self._ask_ids)
         request = messages.ChargeRequest(ask_id, customer.name)
         for host_id in self._limiters_to_ask(customer.name):
             reply = await self._ask_once(host_id, ask_id, request)
             if isinstance(reply, messages.ChargeResult):
-                return reply
+                return Charge(reply, host_id)
             self._node.suspect(host_id, boot_time_us())
-        return self._node.charge_local_share(customer, boot_time_us())
+        return Charge(self._node.charge_local_share(customer, boot_time_us()))
 
     async def acquire(
         self,
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -85,13 +85,19 @@
 
 @dataclass(slots=True)
 class RequestTrace:
-    """History of one request, for its log line and the metrics."""
+    """History of one request, for its log line and the metrics.
+
+    `meter` is the host that metered it, or '' if none did; `charge_us` is the
+    time until then.
+    """
 
     request_id: str
     route: str = ''
     service: str = ''
     customer: str = ''
     config_version: int = -1
+    meter: str = ''
+    charge_us: int = 0
     detail: str = ''
     attempts: list[AttemptTrace] = field(default_factory=list)
 
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -182,7 +182,10 @@
         trace.service = route.choose_service(self._rng)
         if customer is not None:
             trace.customer = customer.name
-            charged = await self._fleet_client.charge(customer)
+            charge = await self._fleet_client.charge(customer)
+            trace.meter = charge.meter
+            trace.charge_us = boot_time_us() - request.received_us
+            charged = charge.result
             if charged.admission is messages.Admission.REFUSED:
                 trace.detail = (
                     f'limit {customer.rate_per_s}/s, '
--- a/foxtailreach/queries/explain.py
+++ b/foxtailreach/queries/explain.py
@@ -76,6 +76,11 @@
         f'configuration {fields.get("config_version")}, '
         f'store read {_in_ms(fields.get("state_age_us"))} before'
     )
+    if fields.get('meter'):
+        yield (
+            f'  metered by {fields["meter"]} '
+            f'after {_in_ms(fields.get("charge_us"))}'
+        )
     if fields.get('detail'):
         yield f'  decided by: {fields["detail"]}'
     for number, attempt in enumerate(fields.get('attempts', ()), 1):
--- a/foxtailreach/tests/queries/explain_tests.py
+++ b/foxtailreach/tests/queries/explain_tests.py
@@ -25,6 +25,8 @@
     'service': 'ledger',
     'customer': 'c1',
     'config_version': 4,
+    'meter': 'h3',
+    'charge_us': 1200,
     'detail': '',
     'attempts': [
         {
@@ -47,6 +49,7 @@
     for part in (
         'status 502, may-have-run, target-failed',
         'customer c1, configuration 4',
+        'metered by h3 after 1.2 ms',
         't1 (last good answer 120.0 ms before), granted by h2',
         'kept connection, lost after 2.8 ms',
     ):
