Apply what the node decides when a reply arrives

Cause: the gateway passed replies and state notices to the node but dropped the effects, so that a copy of a meter that became due with them was lost. With the held charges of the meters this would lose admissions at each reply. Change: one router for all messages of a host, which the fleet replay uses too.

--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -19,18 +19,12 @@
 )
 from tornado.tcpserver import TCPServer
 
-from foxtailreach.core import effects
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import CallerLimits
-from foxtailreach.core.dispatch.fleet import (
-    Effects,
-    FleetConfig,
-    FleetNode,
-)
+from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.daemon.clock import boot_time_us, wall_ms
 from foxtailreach.gateway import logs
-from foxtailreach.gateway.fleet_client import REPLY_TYPES, FleetClient
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -40,6 +34,7 @@
 from foxtailreach.gateway.metrics import GatewayMetrics
 from foxtailreach.gateway.peers import PeerEndpoint, StateServer
 from foxtailreach.gateway.proxy import GetPriority, Proxy
+from foxtailreach.gateway.router import MessageRouter
 from foxtailreach.gateway.settings import Address, GatewaySettings
 from foxtailreach.gateway.state_feed import FeedDependencies, StateFeed
 from foxtailreach.gateway.upstream import Upstream
@@ -90,14 +85,14 @@
         )
         self._node = FleetNode.from_config(config, rng, boot_time_us())
         self._peers = PeerEndpoint(self._receive)
-        self._fleet_client = FleetClient(self._node, self._send)
+        self._router = MessageRouter(self._node, self._peers.send)
         self._upstream = Upstream(options.header_names)
         self._metrics = GatewayMetrics()
         self._routine_lines = logs.RoutineLineLimiter()
         self._log_writer = logs.configure(settings.host_id)
         proxy = Proxy(
             self._node,
-            self._fleet_client,
+            self._router.client,
             self._upstream,
             options.priority,
             self._record,
@@ -111,7 +106,7 @@
                 self._node,
                 self._peers,
                 rng,
-                self._apply_effects,
+                self._router.apply,
             ),
         )
         self._state_server = StateServer(self._feed.mirror)
@@ -174,7 +169,7 @@
         stopped_us = boot_time_us()
         self._is_stopping = True
         self._frontend.is_stopping = True
-        self._apply_effects(self._node.leave(stopped_us))
+        self._router.apply(self._node.leave(stopped_us))
         deadline_us = stopped_us + self._settings.stop_grace_us - STOP_MARGIN_US
         await asyncio.sleep(LISTEN_AFTER_STOP_S)
         self._frontend.stop()
@@ -201,46 +196,22 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self._apply_effects(self._node.tick(boot_time_us()))
+            self._router.apply(self._node.tick(boot_time_us()))
             self._log_writer.flush()
 
     def _limits(self) -> CallerLimits:
         deployment = self._node.deployment
         return CallerLimits() if deployment is None else deployment.limits
 
-    def _send(self, host_id: str, message: messages.FleetMessage) -> None:
-        if host_id != self._entry.host_id:
-            self._peers.send(host_id, message)
-        elif isinstance(message, REPLY_TYPES):
-            self._fleet_client.receive(host_id, message)
-        else:
-            now_us = boot_time_us()
-            self._apply_effects(self._node.receive(host_id, message, now_us))
-
     def _receive(self, sender: str, message: messages.FleetMessage) -> None:
-        now_us = boot_time_us()
+        self._router.receive(sender, message)
         match message:
             case messages.StateNotice():
-                self._node.receive(sender, message, now_us)
                 self._feed.handle_notice(sender, message)
             case messages.HostAnnounced():
-                self._apply_effects(self._node.receive(sender, message, now_us))
                 self._feed.notify_host(sender)
             case _:
-                if isinstance(message, REPLY_TYPES):
-                    # The node records that the sender is reachable.
-                    self._node.receive(sender, message, now_us)
-                    self._fleet_client.receive(sender, message)
-                    return
-                self._apply_effects(self._node.receive(sender, message, now_us))
-
-    def _apply_effects(self, new_effects: Effects) -> None:
-        for effect in new_effects:
-            match effect:
-                case messages.SendHost(host_id=host_id, message=message):
-                    self._send(host_id, message)
-                case effects.Note(name=name, subject=subject, detail=detail):
-                    logger.info('{} {} is {}', name, subject, detail)
+                return
 
     def _is_ready(self) -> bool:
         if self._is_stopping or not self._feed.is_ready:
--- a/foxtailreach/tests/dispatch/fleet_replay.py
+++ b/foxtailreach/tests/dispatch/fleet_replay.py
@@ -36,7 +36,7 @@
 from foxtailreach.core.dispatch.messages import SendOutcome
 from foxtailreach.core.dispatch.meters import LimitPolicy
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
-from foxtailreach.gateway import fleet_client, proxy
+from foxtailreach.gateway import fleet_client, proxy, router
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
@@ -217,10 +217,10 @@
             entry, incarnation, RETRY_POLICY, replay.load.policy
         )
         self.node = FleetNode.from_config(config, rng, replay.now_us())
-        self.client = fleet_client.FleetClient(self.node, self.send)
+        self._router = router.MessageRouter(self.node, self.send)
         self._proxy = proxy.Proxy(
             self.node,
-            self.client,
+            self._router.client,
             SimulatedUpstream(replay, self.resumed),  # type: ignore[arg-type]
             lambda customer, route: 0,
             self._record,
@@ -278,32 +278,18 @@
             self._held.append(action)
 
     def send(self, host_id: str, message: messages.FleetMessage) -> None:
-        """Send a message to a host, which may be this one."""
-        self.run_when_resumed(lambda: self._send_now(host_id, message))
-
-    def _send_now(self, host_id: str, message: messages.FleetMessage) -> None:
-        if host_id != self.entry.host_id:
-            self._replay.transmit(self, host_id, message)
-        elif isinstance(message, fleet_client.REPLY_TYPES):
-            self.client.receive(host_id, message)
-        else:
-            now_us = self._replay.now_us()
-            self.apply(self.node.receive(host_id, message, now_us))
+        """Send a message to another host."""
+        self.run_when_resumed(
+            lambda: self._replay.transmit(self, host_id, message),
+        )
 
     def receive(self, sender: str, message: messages.FleetMessage) -> None:
         """Handle a message from another host."""
-        now_us = self._replay.now_us()
-        if isinstance(message, fleet_client.REPLY_TYPES):
-            self.node.receive(sender, message, now_us)
-            self.client.receive(sender, message)
-            return
-        self.apply(self.node.receive(sender, message, now_us))
+        self._router.receive(sender, message)
 
-    def apply(self, new_effects: list[Any]) -> None:
-        """Send the messages among the effects."""
-        for effect in new_effects:
-            if isinstance(effect, messages.SendHost):
-                self.send(effect.host_id, effect.message)
+    def leave(self) -> None:
+        """Announce that this host stops."""
+        self._router.apply(self.node.leave(self._replay.now_us()))
 
     def serve(self, request_id: int) -> None:
         """Handle a request of the customer."""
@@ -332,7 +318,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             await self.resumed.wait()
-            self.apply(self.node.tick(self._replay.now_us()))
+            self._router.apply(self.node.tick(self._replay.now_us()))
 
 
 @dataclass(slots=True)
@@ -476,7 +462,7 @@
     async def restart(self, host_id: str) -> None:
         """Stop a host as planned; a new process starts 2 s later."""
         host = self.hosts[host_id]
-        host.apply(host.node.leave(self.now_us()))
+        host.leave()
         await asyncio.sleep(1)
         await self.kill(host_id, 1)
 
@@ -522,6 +508,7 @@
     loop = VirtualTimeLoop()
     monkeypatch.setattr(fleet_client, 'boot_time_us', loop.now_us)
     monkeypatch.setattr(proxy, 'boot_time_us', loop.now_us)
+    monkeypatch.setattr(router, 'boot_time_us', loop.now_us)
     replay = FleetReplay(load, random.Random(seed), loop)
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
         runner.run(_run(replay, script))
