Bound what a target may send for one request

What callers would see: a target that sends bytes without end fills a host's memory (64 MB an answer, of 200 MB a host), and one that sends interim answers without end holds the request until its deadline. Cause: only the body of one answer was bounded; interim answers and answers to other requests were not, and their sum neither. Change: all that a target sends for one request is bounded to 8 MB (the largest download of the deployments has 0.54 MB), interim answers to 16. The request's log line has the cause.

--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -104,7 +104,10 @@
 
 @dataclass(slots=True)
 class AttemptTrace:
-    """One attempt: the granted slot and its outcome."""
+    """One attempt: the granted slot and its outcome.
+
+    `cause` says why a connection to the target was given up.
+    """
 
     broker: str
     target_id: str
@@ -113,6 +116,7 @@
     latency_us: int
     proven_age_us: int
     is_reused: bool
+    cause: str = ''
 
 
 def find_header(headers: RawHeaders, name: bytes) -> bytes:
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -318,9 +318,10 @@
                 is_repeatable=context.is_repeatable,
             )
             attempt.outcome = answer.outcome
-            attempt.is_reused = answer.is_reused
         finally:
             self._report(context, slot, attempt, requested_us)
+        attempt.is_reused = answer.is_reused
+        attempt.cause = answer.cause
         if answer.outcome is SendOutcome.UNREACHABLE:
             context.unsent_attempts += 1
         else:
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -40,7 +40,10 @@
 # Non-repeatable requests are not sent on connections that were idle longer.
 AT_MOST_ONCE_IDLE_LIMIT_US = 6 * SECOND_US
 READ_BYTES = 65_536
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# All that a target may send for one request. A host with 200 MB of memory holds
+# the answers to all its requests in flight.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_INTERIM_ANSWERS = 16
 # Answers to earlier requests are skipped; after this many answers without
 # the right one the connection is closed.
 MAX_STALE_ANSWERS = 3
@@ -52,7 +55,7 @@
 
 @dataclass(slots=True)
 class TargetAnswer:
-    """A target's answer, or the outcome that explains why there is none."""
+    """A target's answer, or the outcome and cause why there is none."""
 
     outcome: SendOutcome
     status: int = 0
@@ -60,6 +63,7 @@
     headers: RawHeaders = ()  # type: ignore[assignment]
     body: bytes = b''
     is_reused: bool = False
+    cause: str = ''
 
 
 class _ConnectionLostError(Exception):
@@ -71,6 +75,7 @@
 
     __slots__ = (
         '_reading',
+        '_received_bytes',
         'idle_limit_us',
         'idle_since_us',
         'must_close',
@@ -84,6 +89,7 @@
         self.idle_limit_us = DEFAULT_IDLE_LIMIT_US
         self.must_close = False
         self._reading: asyncio.Future[bytes] | None = None
+        self._received_bytes = 0
 
     @property
     def is_usable(self) -> bool:
@@ -121,8 +127,10 @@
         """Send one request and read its answer.
 
         Answers that echo the id of another request are skipped. Raises
-        _ConnectionLostError if no complete answer arrives.
+        _ConnectionLostError if no complete answer arrives within
+        `MAX_ANSWER_BYTES`.
         """
+        self._received_bytes = 0
         parser, payload = _serialize(request, body)
         written = self.stream.write(payload)
         written.add_done_callback(_ignore_result)
@@ -147,12 +155,10 @@
     ) -> tuple[h11.Response, bytes]:
         response = await self._read_head(parser)
         chunks: list[bytes] = []
-        size_bytes = 0
-        while size_bytes <= MAX_ANSWER_BYTES:
+        while True:
             event = await self._read_event(parser)
             match event:
                 case h11.Data(data=chunk):
-                    size_bytes += len(chunk)
                     chunks.append(bytes(chunk))
                 case h11.EndOfMessage():
                     return response, b''.join(chunks)
@@ -160,10 +166,9 @@
                     raise _ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
                     )
-        raise _ConnectionLostError('answer exceeds the size limit')
 
     async def _read_head(self, parser: h11.Connection) -> h11.Response:
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._read_event(parser)
             match event:
                 case h11.Response():
@@ -174,6 +179,7 @@
                     raise _ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
                     )
+        raise _ConnectionLostError('too many interim answers')
 
     async def _read_event(self, parser: h11.Connection) -> object:
         while True:
@@ -185,7 +191,8 @@
     async def _read_chunk(self) -> bytes:
         """Return the next bytes; b'' at a clean end of the stream.
 
-        Raises _ConnectionLostError if the connection was reset.
+        Raises _ConnectionLostError if the connection was reset, or if the
+        target has sent too much.
         """
         reading = self._start_reading()
         try:
@@ -198,6 +205,9 @@
             return b''
         finally:
             self._reading = None
+        self._received_bytes += len(chunk)
+        if self._received_bytes > MAX_ANSWER_BYTES:
+            raise _ConnectionLostError('answer exceeds the size limit')
         return chunk
 
     def _start_reading(self) -> asyncio.Future[bytes]:
@@ -321,8 +331,9 @@
             _ConnectionLostError,
             StreamClosedError,
             h11.RemoteProtocolError,
-        ):
-            return TargetAnswer(SendOutcome.LOST)
+        ) as error:
+            cause = str(error) or type(error).__name__
+            return TargetAnswer(SendOutcome.LOST, cause=cause)
         finally:
             if not is_complete:
                 connection.close()
@@ -337,6 +348,8 @@
             body=body,
         )
         answer.outcome = self._classify(answer)
+        if answer.outcome is SendOutcome.LOST:
+            answer.cause = 'successful answer is unsigned or encoded'
         return answer
 
     def _classify(self, answer: TargetAnswer) -> SendOutcome:
--- a/foxtailreach/queries/explain.py
+++ b/foxtailreach/queries/explain.py
@@ -93,11 +93,12 @@
     if proven_age_us >= 0:
         evidence = f'last good answer {_in_ms(proven_age_us)} before'
     connection = 'kept' if attempt.get('is_reused') else 'new'
+    cause = f': {attempt["cause"]}' if attempt.get('cause') else ''
     return (
         f'{attempt.get("target_id")} ({evidence}), granted by '
         f'{attempt.get("broker")} after {_in_ms(attempt.get("slot_wait_us"))}, '
         f'{connection} connection, {attempt.get("outcome")} '
-        f'after {_in_ms(attempt.get("latency_us"))}'
+        f'after {_in_ms(attempt.get("latency_us"))}{cause}'
     )
 
 
--- a/foxtailreach/tests/queries/explain_tests.py
+++ b/foxtailreach/tests/queries/explain_tests.py
@@ -37,6 +37,7 @@
             'latency_us': 2846,
             'proven_age_us': 120_000,
             'is_reused': True,
+            'cause': 'answer exceeds the size limit',
         },
     ],
 }
@@ -51,7 +52,7 @@
         'customer c1, configuration 4',
         'metered by h3 after 1.2 ms',
         't1 (last good answer 120.0 ms before), granted by h2',
-        'kept connection, lost after 2.8 ms',
+        'kept connection, lost after 2.8 ms: answer exceeds the size limit',
     ):
         assert part in explanation
 
