Take an entry whose start is no number for a malformed one

What operators would see: an entry of another writer with a 'born' that is no number raised in the comparison of heartbeats, which ended the task that reads the targets and with it the host. Cause: the order of heartbeats took the field unchecked, the decoder checked it. Change: both use one function. Six values fail on the old code or are taken for a start.

--- a/foxtailreach/platform/records.py
+++ b/foxtailreach/platform/records.py
@@ -184,7 +184,7 @@
     """
     try:
         fields = json.loads(record.payload)
-        return fields.get('born', 0), _unsigned_integer(fields, 'sequence')
+        return _started_ms(fields), _unsigned_integer(fields, 'sequence')
     except _DECODE_ERRORS:
         # Malformed entries are logged where they are decoded.
         return None
@@ -209,11 +209,15 @@
         # Time until the end of the warm-up, not until the target stops.
         warm_up_left_us=_unsigned_integer(fields, 'warmup_left_ms')
         * MILLISECOND_US,
-        # Wall-clock time of the process start.
-        started_ms=_unsigned_integer(fields, 'born') if 'born' in fields else 0,
+        started_ms=_started_ms(fields),
     )
 
 
+def _started_ms(fields: Any) -> int:
+    """Return the wall-clock time of a target's start; 0 if it names none."""
+    return _unsigned_integer(fields, 'born') if 'born' in fields else 0
+
+
 def _with_warm_up_of(spec: TargetSpec, other: TargetSpec) -> TargetSpec:
     return replace(spec, warm_up_left_us=other.warm_up_left_us)
 
--- a/foxtailreach/tests/platform/records_tests.py
+++ b/foxtailreach/tests/platform/records_tests.py
@@ -157,6 +157,16 @@
     assert records.classify_target(heartbeat_record(), newer) is change
 
 
+@pytest.mark.parametrize('born', ['soon', None, 1.5, -1, [], True])
+def test_entry_whose_start_is_no_number_is_a_change(born: Any) -> None:
+    """Another writer's entry names no target; it must not stop the reader."""
+    malformed = heartbeat_record(2, sequence=9, born=born)
+    known = heartbeat_record()
+    assert records.classify_target(known, malformed) is Change.MATERIAL
+    assert records.classify_target(malformed, known) is Change.MATERIAL
+    assert records.decode_target(malformed) is None
+
+
 def mirror_with(document: Any) -> Any:
     mirror = records.create_mirror()
     payload = json.dumps(document).encode()
