Keep the age of a peer without a copy of the log at -1

Cause: the time since the peer was heard was added to -1, so a peer that never read the log counted as one with a fresh copy, and a host that could have served with its own copy stopped. Change: -1 stays -1. The test hears the peers 0.1 s earlier, as in service.

--- a/foxtailreach/core/log_freshness.py
+++ b/foxtailreach/core/log_freshness.py
@@ -64,12 +64,13 @@
         )
 
     def _fresh_ages(self, now_us: int) -> list[int]:
+        """List the ages at the peers heard recently; -1 for no copy."""
         self._peer_ages = {
             host_id: entry
             for host_id, entry in self._peer_ages.items()
             if now_us - entry[0] <= MAX_PEER_REPORT_AGE_US
         }
         return [
-            log_age_us + now_us - last_heard_us
+            -1 if log_age_us < 0 else log_age_us + now_us - last_heard_us
             for last_heard_us, log_age_us in self._peer_ages.values()
         ]
--- a/foxtailreach/tests/core/bucket_tests.py
+++ b/foxtailreach/tests/core/bucket_tests.py
@@ -117,6 +117,9 @@
         (MAX_CURRENT_AGE_US + 1, (0,), False),
         (MAX_CURRENT_AGE_US + 1, (MAX_CURRENT_AGE_US + 5,), True),
         (MAX_CURRENT_AGE_US + 1, (MAX_CURRENT_AGE_US + 5, 10), False),
+        # A peer without a copy knows nothing newer.
+        (MAX_CURRENT_AGE_US + 1, (-1,), True),
+        (MAX_CURRENT_AGE_US + 1, (-1, 10), False),
     ],
 )
 def test_log_copy_is_current_unless_a_reachable_peer_has_newer(
@@ -129,5 +132,6 @@
     log_freshness.record_host_list(has_peers=True)
     log_freshness.record_read(now_us - read_age_us)
     for index, age_us in enumerate(peer_ages_us):
-        log_freshness.record_peer(f'peer-{index}', age_us, now_us)
+        heard_us = now_us - SECOND_US // 10
+        log_freshness.record_peer(f'peer-{index}', age_us, heard_us)
     assert log_freshness.is_current(now_us) is is_current
