--- a/foxtailreach/tests/dispatch/fleet_replay.py
+++ b/foxtailreach/tests/dispatch/fleet_replay.py
@@ -46,6 +46,11 @@
 )
 from foxtailreach.gateway.upstream import TargetAnswer
 from foxtailreach.tests.dispatch.fixtures import RETRY_POLICY, FailurePeriods
+from foxtailreach.tests.dispatch.load_replay import (
+    WINDOW_S,
+    healthy_targets,
+    violates_floor,
+)
 
 START_S = 1000.0
 TICK_INTERVAL_S = 0.1
@@ -57,6 +62,7 @@
 ANNOUNCE_INTERVAL_S = 0.3
 # Time until requests are sent, longer than the window of the limits.
 SETTLE_S = 6.0
+FLOOR_STEP_S = 0.25
 # Longer than any request takes.
 DRAIN_S = 4.0
 
@@ -315,6 +321,8 @@
     ) -> None:
         name = 'served' if answer.reason is None else answer.reason.value
         self._replay.answers[name] += 1
+        if answer.reason is None:
+            self._replay.served_ids.add(trace.request_id)
 
     async def _tick(self) -> None:
         while True:
@@ -328,7 +336,8 @@
     """Hosts, targets and requests of one replay, and what was observed.
 
     `arrivals` lists the requests that targets received; `answers` counts what
-    callers got: `served`, or the reason of the failure.
+    callers got: `served`, or the reason of the failure. `sent_s` has the time
+    of each request, `served_ids` those that were served.
     """
 
     load: FleetLoad
@@ -339,6 +348,8 @@
     target_specs: list[TargetSpec] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     answers: Counter[str] = field(default_factory=Counter)
+    sent_s: dict[str, float] = field(default_factory=dict)
+    served_ids: set[str] = field(default_factory=set)
     failure_periods: list[list[tuple[float, float]]] = field(
         default_factory=list
     )
@@ -446,6 +457,30 @@
             most = max(most, newest - oldest + 1)
         return most
 
+    def floor_violations(self) -> list[float]:
+        """List the ends of the windows that violate the coverage floor."""
+        ends_s = []
+        end_s = SETTLE_S + WINDOW_S
+        while end_s < self.load.seconds:
+            start_s = end_s - WINDOW_S
+            window = [
+                request_id
+                for request_id, at_s in self.sent_s.items()
+                if start_s <= at_s < end_s
+            ]
+            used = {
+                arrival.target
+                for arrival in self.arrivals
+                if start_s <= arrival.at_us / SECOND_US - START_S < end_s
+            }
+            served = len(self.served_ids.intersection(window))
+            unserved_share = 1 - served / max(1, len(window))
+            healthy = healthy_targets(self.failure_periods, end_s)
+            if violates_floor(healthy, used, unserved_share):
+                ends_s.append(end_s)
+            end_s += FLOOR_STEP_S
+        return ends_s
+
     def share_of(self, *names: str) -> float:
         """Return the share of requests with one of these answers."""
         counted = sum(self.answers[name] for name in names)
@@ -497,6 +532,7 @@
             return
         host_id = replay.rng.choice(sorted(replay.hosts))
         host = replay.hosts[host_id]
+        replay.sent_s[str(request_id)] = replay.elapsed_s()
         host.run_when_resumed(partial(host.serve, request_id))
 
 
--- a/foxtailreach/tests/dispatch/load_replay.py
+++ b/foxtailreach/tests/dispatch/load_replay.py
@@ -65,6 +65,32 @@
     is_failed: bool
 
 
+def healthy_targets(
+    failure_periods: list[list[tuple[float, float]]],
+    end_s: float,
+) -> list[int]:
+    """List the targets that were healthy for two windows before `end_s`."""
+    return [
+        index
+        for index, target_periods in enumerate(failure_periods)
+        if not any(
+            start_s < end_s and stop_s > end_s - 2 * WINDOW_S
+            for start_s, stop_s in target_periods
+        )
+    ]
+
+
+def violates_floor(
+    healthy: list[int],
+    used: set[int],
+    unserved_share: float,
+) -> bool:
+    """Tell whether too few of the healthy targets were used in a window."""
+    used_share = sum(index in used for index in healthy) / len(healthy)
+    is_floor_required = UNSERVED_MIN < unserved_share < UNSERVED_MAX
+    return is_floor_required and 0 < used_share < FLOOR_SHARE
+
+
 @dataclass(slots=True)
 class LoadReplay:
     """Outcomes of the requests, and the failure periods of each target."""
@@ -101,22 +127,13 @@
         window = [
             send for send in self.sends if end_s - WINDOW_S <= send.at_s < end_s
         ]
-        healthy = [
-            index
-            for index, target_periods in enumerate(self.failure_periods)
-            if not any(
-                start_s < end_s and stop_s > end_s - 2 * WINDOW_S
-                for start_s, stop_s in target_periods
-            )
-        ]
+        healthy = healthy_targets(self.failure_periods, end_s)
         if not window or not healthy:
             return False
         healthy = rng.sample(healthy, min(counted_targets, len(healthy)))
         used = {send.target for send in window}
-        used_share = sum(index in used for index in healthy) / len(healthy)
         failed_share = sum(send.is_failed for send in window) / len(window)
-        is_floor_required = UNSERVED_MIN < failed_share < UNSERVED_MAX
-        return is_floor_required and 0 < used_share < FLOOR_SHARE
+        return violates_floor(healthy, used, failed_share)
 
 
 def replay(load: FailureLoad, seed: int) -> LoadReplay:
