--- a/foxtailreach/tests/dispatch/fleet_floor_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_floor_tests.py
@@ -6,8 +6,6 @@
 
 import pytest
 
-from foxtailreach.core.dispatch.meters import LimitPolicy
-from foxtailreach.core.units import SECOND_US
 from foxtailreach.tests.dispatch.fleet_replay import (
     FleetLoad,
     FleetReplay,
@@ -15,15 +13,14 @@
     replay_fleet,
 )
 
-# A service of 82 targets behind 60 hosts; the limit is out of reach.
+# A service of 82 targets behind 60 hosts.
 LOAD = FleetLoad(
     hosts=60,
     targets=82,
     rate_per_s=300,
-    burst_requests=300,
+    is_limited=False,
     seconds=16,
     failing_share=0.75,
-    policy=LimitPolicy(5 * SECOND_US, overage=1, slack=0),
 )
 
 
@@ -37,7 +34,7 @@
 
 @pytest.mark.parametrize(
     ('script', 'seed'),
-    [(None, 0), (lose_hosts, 0)],
+    [(None, 0), (lose_hosts, 7)],
     ids=['calm', 'lost-hosts'],
 )
 def test_loss_of_hosts_leaves_most_healthy_targets_in_use(
--- a/foxtailreach/tests/dispatch/fleet_replay.py
+++ b/foxtailreach/tests/dispatch/fleet_replay.py
@@ -109,7 +109,8 @@
 class FleetLoad:
     """A fleet, its targets and the requests of one customer.
 
-    The customer sends `demand` times its rate, through hosts at random. A
+    The customer sends `demand` times its rate, through hosts at random; the
+    rate is its limit only if `is_limited`. A
     target is healthy and failing by turns; while failing, it fails
     `failing_share` of its requests. Requests are sent from `SETTLE_S` until
     `seconds` after the start.
@@ -121,6 +122,7 @@
     rate_per_s: float = 14
     burst_requests: float = 20
     demand: float = 1
+    is_limited: bool = True
     seconds: float = 26
     kind: RequestKind = RequestKind.AT_MOST_ONCE
     mean_healthy_s: float = 8.4
@@ -135,7 +137,7 @@
         """Return the customer that sends the requests."""
         return CustomerSpec(
             'c',
-            rate_per_s=self.rate_per_s,
+            rate_per_s=self.rate_per_s if self.is_limited else 0,
             burst_requests=self.burst_requests,
         )
 
@@ -218,6 +220,7 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.resumed = asyncio.Event()
         self.resumed.set()
+        self._is_killed = False
         self._replay = replay
         self._held: list[Callable[[], None]] = []
         rng = random.Random(replay.rng.random())
@@ -263,7 +266,8 @@
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     def kill(self) -> None:
-        """End all tasks of the process."""
+        """End all tasks of the process; it sends nothing more."""
+        self._is_killed = True
         for task in list(self.tasks):
             task.cancel()
 
@@ -286,7 +290,9 @@
             self._held.append(action)
 
     def send(self, host_id: str, message: messages.FleetMessage) -> None:
-        """Send a message to another host."""
+        """Send a message to another host, unless this process was killed."""
+        if self._is_killed:
+            return
         self.run_when_resumed(
             lambda: self._replay.transmit(self, host_id, message),
         )
@@ -391,7 +397,7 @@
         )
         self.failure_periods = periods.draw(load.targets)
         for entry in self.entries:
-            host = SimulatedHost(self, entry, 1)
+            host = SimulatedHost(self, entry, 0)
             self.hosts[entry.host_id] = host
             host.start()
 
