--- a/foxtailreach/tests/dispatch/fleet_replay.py
+++ b/foxtailreach/tests/dispatch/fleet_replay.py
@@ -175,6 +175,7 @@
 
     at_us: int
     target: int
+    request_id: str
     is_failed: bool
 
 
@@ -201,7 +202,9 @@
     ) -> TargetAnswer:
         """Let the granted target run a request."""
         await self._resumed.wait()
-        answer, latency_s = self._replay.run_at_target(grant)
+        answer, latency_s = self._replay.run_at_target(
+            grant, request.request_id
+        )
         await asyncio.sleep(latency_s)
         return answer
 
@@ -432,7 +435,9 @@
             host.run_when_resumed(lambda: host.receive(sender, message))
 
     def run_at_target(
-        self, grant: messages.SlotGrant
+        self,
+        grant: messages.SlotGrant,
+        request_id: str,
     ) -> tuple[TargetAnswer, float]:
         """Record an arrival; return the answer and its latency in seconds."""
         load = self.load
@@ -443,7 +448,9 @@
             for start_s, end_s in self.failure_periods[target]
         )
         is_failed = is_failing and self.rng.random() < load.failing_share
-        self.arrivals.append(Arrival(self.now_us(), target, is_failed))
+        self.arrivals.append(
+            Arrival(self.now_us(), target, request_id, is_failed)
+        )
         stalled_s = max(0, self.stalled_until_us - self.now_us()) / SECOND_US
         if is_failed:
             return TargetAnswer(SendOutcome.FAILED, status=500), 0.001
@@ -463,6 +470,29 @@
             most = max(most, newest - oldest + 1)
         return most
 
+    def most_retries_over_budget(self) -> float:
+        """Return by how much retries exceed their budget in any window.
+
+        Negative while they stay below it.
+        """
+        window_us = RETRY_POLICY.window_us
+        known: set[str] = set()
+        firsts_us: list[int] = []
+        retries_us: list[int] = []
+        for arrival in sorted(self.arrivals, key=lambda one: one.at_us):
+            is_retry = arrival.request_id in known
+            (retries_us if is_retry else firsts_us).append(arrival.at_us)
+            known.add(arrival.request_id)
+        excesses = [-float(RETRY_POLICY.slack)]
+        for end_us in retries_us:
+            retries, firsts = (
+                sum(end_us - window_us < at_us <= end_us for at_us in times_us)
+                for times_us in (retries_us, firsts_us)
+            )
+            allowed = RETRY_POLICY.ratio * firsts + RETRY_POLICY.slack
+            excesses.append(retries - allowed)
+        return max(excesses)
+
     def floor_violations(self) -> list[float]:
         """List the ends of the windows that violate the coverage floor."""
         ends_s = []
