Return a slot when the caller leaves while its charge is renewed

Cause: the renewal of a charge is awaited while the request holds a slot, so a caller that leaves then kept the slot until its lease expired. Change: the slot goes back unless the send is admitted, also on cancellation. The new test fails on the code before.

--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -50,6 +50,7 @@
 # A request that waited longer for its slot is charged again at the time of
 # sending; see `SEND_DELAY_US` of the meters.
 RENEW_CHARGE_AFTER_US = 120 * MILLISECOND_US
+METER_RETRY_AFTER_US = 300 * MILLISECOND_US
 _FINGERPRINT_BITS = 63
 _MAY_HAVE_RUN = frozenset(
     (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.TIMED_OUT),
@@ -57,7 +58,6 @@
 _NOT_ADMITTED = frozenset(
     (messages.Admission.REFUSED, messages.Admission.NOT_OWNER),
 )
-METER_RETRY_AFTER_US = 300 * MILLISECOND_US
 
 RecordRequest = Callable[[RequestTrace, CallerAnswer, int], None]
 GetPriority = Callable[[CustomerSpec | None, RouteSpec], int]
@@ -248,9 +248,27 @@
             charge.result.retry_after_us,
         )
 
-    async def _confirm_charge(self, context: RequestContext) -> Charge | None:
+    async def _confirm_charge(
+        self,
+        context: RequestContext,
+        slot: GrantedSlot,
+    ) -> Charge | None:
         """Charge the next send; return the charge if it is not admitted.
 
+        Return the slot unless the send is admitted, also when cancelled.
+        """
+        is_admitted = False
+        try:
+            charge = await self._charge_send(context)
+            is_admitted = charge is None or _is_admitted(charge)
+        finally:
+            if not is_admitted:
+                self._return_slot(context, slot)
+        return None if is_admitted else charge
+
+    async def _charge_send(self, context: RequestContext) -> Charge | None:
+        """Charge the next send of a customer's request.
+
         A retry is charged apart. A first send that waited for its slot renews
         its charge.
         """
@@ -267,7 +285,7 @@
                 charge, customer, context.deadline_us
             )
             context.charged_us = boot_time_us()
-        return None if _is_admitted(charge) else charge
+        return charge
 
     async def _run_attempts(self, context: RequestContext) -> CallerAnswer:
         while True:
@@ -280,9 +298,8 @@
             )
             if isinstance(slot, messages.SlotRefused):
                 return _refused_answer(context, slot)
-            refused = await self._confirm_charge(context)
+            refused = await self._confirm_charge(context, slot)
             if refused is not None:
-                self._return_slot(context, slot)
                 return _failure_answer(
                     context, self._limited_answer(context, refused)
                 )
--- a/foxtailreach/tests/gateway/proxy_tests.py
+++ b/foxtailreach/tests/gateway/proxy_tests.py
@@ -14,10 +14,12 @@
 
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import (
+    CustomerSpec,
     Deployment,
     RequestKind,
     RouteSpec,
     ServiceShare,
+    digest_key,
     index_routes,
 )
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
@@ -26,7 +28,8 @@
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.core.verdict import Verdict
 from foxtailreach.daemon.clock import boot_time_us
-from foxtailreach.gateway.fleet_client import GrantedSlot
+from foxtailreach.gateway import proxy as proxy_module
+from foxtailreach.gateway.fleet_client import Charge, GrantedSlot
 from foxtailreach.gateway.http_types import CallerAnswer, CallerRequest
 from foxtailreach.gateway.proxy import Proxy
 from foxtailreach.gateway.upstream import TargetAnswer
@@ -85,8 +88,37 @@
         return TargetAnswer(outcome, status=status)
 
 
-def serve(outcomes: list[SendOutcome]) -> CallerAnswer:
-    """Serve one request whose attempts end with the given outcomes."""
+class SilentMeter(ScriptedFleet):
+    """Admits a request, but does not answer when its charge is renewed."""
+
+    def __init__(self) -> None:
+        """Record the reports on slots."""
+        super().__init__([SendOutcome.SERVED])
+        self.reported: list[SendOutcome] = []
+        self.is_renewing = asyncio.Event()
+
+    async def charge(self, customer: CustomerSpec, deadline_us: int) -> Charge:
+        """Admit the request."""
+        admission = messages.Admission.WITHIN_LIMIT
+        return Charge(messages.ChargeResult(1, admission, 0), 'h2')
+
+    async def renew(
+        self,
+        charge: Charge,
+        customer: CustomerSpec,
+        deadline_us: int,
+    ) -> Charge:
+        """Wait without end."""
+        self.is_renewing.set()
+        return await asyncio.Future()
+
+    def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
+        """Record the outcome."""
+        self.reported.append(report.outcome)
+
+
+def create_proxy(fleet: ScriptedFleet, deployment: Deployment) -> Proxy:
+    """Create the request handling of a host with one target."""
     entry = HostEntry('h1', 'd1', '10.0.0.1', 7000)
     now_us = boot_time_us()
     node = FleetNode.from_config(
@@ -94,10 +126,8 @@
         random.Random(1),
         now_us,
     )
-    deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
     node.update_state(deployment, [spec(0)], frozenset(), now_us)
-    fleet = ScriptedFleet(outcomes)
-    proxy = Proxy(
+    return Proxy(
         node,
         fleet,  # type: ignore[arg-type]
         fleet,  # type: ignore[arg-type]
@@ -105,17 +135,27 @@
         lambda trace, answer, latency_us: None,
         random.Random(1),
     )
-    request = CallerRequest(
+
+
+def caller_request(key: str = '') -> CallerRequest:
+    """Build a request to the route."""
+    return CallerRequest(
         method=b'GET',
         path=b'/x',
         headers=[(b'host', b'h')],
         body=b'',
         request_id='1',
-        key='',
+        key=key,
         time_left_us=SECOND_US,
-        received_us=now_us,
+        received_us=boot_time_us(),
     )
-    return asyncio.run(proxy.handle(request))
+
+
+def serve(outcomes: list[SendOutcome]) -> CallerAnswer:
+    """Serve one request whose attempts end with the given outcomes."""
+    deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
+    proxy = create_proxy(ScriptedFleet(outcomes), deployment)
+    return asyncio.run(proxy.handle(caller_request()))
 
 
 @pytest.mark.parametrize(
@@ -160,3 +200,28 @@
 ) -> None:
     answer = serve([SendOutcome(name) for name in outcomes])
     assert (answer.status, answer.verdict) == (status, verdict)
+
+
+def test_caller_that_leaves_while_it_is_charged_returns_its_slot(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Otherwise the slot stays taken until its lease expires."""
+    monkeypatch.setattr(proxy_module, 'RENEW_CHARGE_AFTER_US', -1)
+    deployment = Deployment(
+        1,
+        index_routes([ROUTE]),
+        {'svc': SERVICE},
+        {'c': CustomerSpec('c', rate_per_s=1, burst_requests=1)},
+        {digest_key('key'): 'c'},
+    )
+
+    async def main() -> list[SendOutcome]:
+        fleet = SilentMeter()
+        proxy = create_proxy(fleet, deployment)
+        task = asyncio.ensure_future(proxy.handle(caller_request('key')))
+        await fleet.is_renewing.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return fleet.reported
+
+    assert asyncio.run(main()) == [SendOutcome.ABANDONED]
