Do not tell callers of an isolated host that a limit is used up

Cause: a host without contact to others refused what its own share did not cover with 429, although it cannot know what others admitted. Change: it answers 503 limit-unavailable, with Retry-After.

--- a/foxtailreach/gateway/fleet_client.py
+++ b/foxtailreach/gateway/fleet_client.py
@@ -103,7 +103,8 @@
     ) -> Charge:
         """Charge one send of a request to a customer's fleet-wide limit.
 
-        An isolated host charges its own share of the limit.
+        An isolated host charges its own share of the limit. It cannot tell
+        whether the limit is used up, so it never says so.
         """
         now_us = boot_time_us()
         if not customer.rate_per_s:
@@ -111,7 +112,10 @@
                 messages.ChargeResult(0, messages.Admission.WITHIN_LIMIT, 0)
             )
         if self._node.is_isolated(now_us):
-            return Charge(self._node.charge_local_share(customer, now_us))
+            result = self._node.charge_local_share(customer, now_us)
+            if result.admission is messages.Admission.REFUSED:
+                return Charge(_not_owner(result.ask_id))
+            return Charge(result)
         ask_id = next(self._ask_ids)
         request = messages.ChargeRequest(ask_id, customer.name, is_retry)
         return await self._ask_meters(request, deadline_us)
