--- a/foxtailreach/core/dispatch/metering.py
+++ b/foxtailreach/core/dispatch/metering.py
@@ -95,7 +95,7 @@
         """Admit or refuse a request if this host holds the customer's meter.
 
         `customer` is None if it is not configured here. A charge without
-        contact with most failure domains waits; see `tick`.
+        contact with most failure domains waits; see `take_decidable`.
         """
         if now_us - self._reach.resumed_us < RESUME_US:
             return []
