--- a/foxtailreach/core/dispatch/deployment.py
+++ b/foxtailreach/core/dispatch/deployment.py
@@ -13,19 +13,37 @@
 
 
 class RequestKind(enum.StrEnum):
-    """Whether requests of a route are repeatable, and how large answers are.
+    """Whether requests of a route are repeatable, and how large they are.
 
-    Answers of `DOWNLOAD` are large; its requests are repeatable.
+    Answers of `DOWNLOAD` are large; its requests are repeatable. Bodies of
+    `UPLOAD` requests are large; they run at most once.
     """
 
     IDEMPOTENT = 'idempotent'
     AT_MOST_ONCE = 'at-most-once'
     DOWNLOAD = 'download'
+    UPLOAD = 'upload'
 
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        return self is not RequestKind.AT_MOST_ONCE
+        return self in _REPEATABLE_KINDS
+
+
+_REPEATABLE_KINDS = frozenset((RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD))
+
+
+@dataclass(slots=True, frozen=True)
+class ConfigurationFault:
+    """A part of a configuration that cannot be used as it is written.
+
+    `effect` says how the object that has the fault is treated.
+    """
+
+    object_type: str
+    name: str
+    field_name: str
+    effect: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,7 +60,8 @@
 
     `objective_us` is the latency within which an answer is worth most;
     `timeout_us` is 0 if only the caller's deadline counts; `is_open` admits
-    callers without a key.
+    callers without a key. Without `shares` no request of the route can be
+    served.
     """
 
     name: str
@@ -78,13 +97,15 @@
 class CustomerSpec:
     """Priority (0 is the highest) and fleet-wide rate limit of a customer.
 
-    `rate_per_s` of 0 means that the customer has no limit.
+    `rate_per_s` of 0 means that the customer has no limit. Without
+    `has_known_limit` the limit cannot be read from the configuration.
     """
 
     name: str
     priority: int = 0
     rate_per_s: float = 0
     burst_requests: float = 0
+    has_known_limit: bool = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -127,6 +148,7 @@
     customers: Mapping[str, CustomerSpec] = field(default_factory=dict)
     key_digests: Mapping[bytes, str] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    faults: tuple[ConfigurationFault, ...] = ()
 
     def find_route(self, host: str, path: str) -> RouteSpec | None:
         """Return the route of the host with the longest matching prefix.
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -30,6 +30,9 @@
 # Traffic between failure domains is expensive: a download of 90 KB costs a
 # third of the value of its request.
 REMOTE_DOWNLOAD_COST_US = 30 * SECOND_US
+# An upload of 60 KB costs an eighth of the value of its request, which is lost
+# if its target fails: a second of age adds a tenth to that probability.
+REMOTE_UPLOAD_COST_US = 1500 * MILLISECOND_US
 # A request that cannot be retried waits this long for a proven target.
 PROVEN_WAIT_US = 150 * MILLISECOND_US
 # A newly joined target without requests gets a probe after its warm-up, at
@@ -229,13 +232,22 @@
             else NEW_CONNECTION_COST_US
         )
     if record.spec.domain != request.domain:
-        is_large = request.kind is RequestKind.DOWNLOAD
-        cost_us += REMOTE_DOWNLOAD_COST_US if is_large else REMOTE_COST_US
+        cost_us += _remote_cost_us(request.kind)
     if record.is_warming_up(now_us):
         cost_us += SECOND_US
     return cost_us
 
 
+def _remote_cost_us(kind: RequestKind) -> int:
+    match kind:
+        case RequestKind.DOWNLOAD:
+            return REMOTE_DOWNLOAD_COST_US
+        case RequestKind.UPLOAD:
+            return REMOTE_UPLOAD_COST_US
+        case _:
+            return REMOTE_COST_US
+
+
 def _underused(
     records: list[TargetRecord],
     request: PlacementRequest,
--- a/foxtailreach/core/verdict.py
+++ b/foxtailreach/core/verdict.py
@@ -18,7 +18,8 @@
     """Why a request was refused or failed.
 
     `KEYS_UNCERTAIN` means that the host's copy of the log, which holds the
-    keys, may be outdated.
+    keys, may be outdated. `NO_SERVICE` means that the configuration of a route
+    names no usable service.
     """
 
     NO_KEY = 'no-key'
@@ -26,6 +27,7 @@
     KEYS_UNCERTAIN = 'keys-uncertain'
     NO_CONFIGURATION = 'no-configuration'
     NO_ROUTE = 'no-route'
+    NO_SERVICE = 'no-service'
     OVER_LIMIT = 'over-limit'
     LIMIT_UNAVAILABLE = 'limit-unavailable'
     OVERLOAD = 'overload'
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -232,6 +232,7 @@
         gauges = {
             'state_age_us': self._feed.age_us(now_us),
             'config_version': self._config_version(),
+            'config_faults': self._config_faults(),
             'targets': len(self._node.targets),
             'store_calls': self._feed.store_calls,
             'hosts_usable': len(self._node.membership.usable_hosts()),
@@ -253,6 +254,10 @@
         deployment = self._node.deployment
         return -1 if deployment is None else deployment.version
 
+    def _config_faults(self) -> int:
+        deployment = self._node.deployment
+        return 0 if deployment is None else len(deployment.faults)
+
     def _record(
         self,
         trace: RequestTrace,
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -172,13 +172,15 @@
         if deployment.customers and customer is None and not route.is_open:
             reason = Reason.UNKNOWN_KEY if request.key else Reason.NO_KEY
             return _rejected_answer(HTTPStatus.UNAUTHORIZED, reason)
-        return await self._serve_route(
-            request,
-            route,
-            customer,
-            deployment,
-            trace,
-        )
+        if not route.shares:
+            return _unavailable_answer(Reason.NO_SERVICE, NOT_READY_RETRY_US)
+        if customer is not None and not customer.has_known_limit:
+            trace.customer = customer.name
+            trace.detail = 'the limit cannot be read from the configuration'
+            return _unavailable_answer(
+                Reason.LIMIT_UNAVAILABLE, NOT_READY_RETRY_US
+            )
+        return await self._serve_route(request, route, customer, trace)
 
     async def _wait_for_deployment(self) -> Deployment | None:
         """Return the configuration; wait briefly until it and targets exist."""
@@ -193,7 +195,6 @@
         request: CallerRequest,
         route: RouteSpec,
         customer: CustomerSpec | None,
-        deployment: Deployment,
         trace: RequestTrace,
     ) -> CallerAnswer:
         trace.service = route.choose_service(self._rng)
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -11,10 +11,12 @@
 import random
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import asdict
 
 from loguru import logger
 
 from foxtailreach.core.dispatch import messages
+from foxtailreach.core.dispatch.deployment import Deployment
 from foxtailreach.core.dispatch.fleet import Effects, FleetNode
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.dispatch.mirror import TopicMirror
@@ -50,6 +52,7 @@
 # Readers send a notice every 0.7 s, so two were missed after this long.
 READER_SILENCE_US = 1500 * MILLISECOND_US
 REMOTE_PULL_INTERVAL_US = 500 * MILLISECOND_US
+MAX_LOGGED_FAULTS = 20
 
 OnEffects = Callable[[Effects], None]
 
@@ -423,6 +426,7 @@
         self._on_effects(effects)
         if deployment is not None and deployment is not previous:
             logger.info('configuration {} is in force', deployment.version)
+            _log_faults(deployment)
 
     def _apply_hosts(self) -> None:
         entries = records.decode_hosts(self.mirror)
@@ -446,3 +450,13 @@
         """Whether a host is in this host's failure domain."""
         state = self._node.membership.hosts.get(host_id)
         return state is not None and state.entry.domain == self._entry.domain
+
+
+def _log_faults(deployment: Deployment) -> None:
+    """Log the parts of a configuration that cannot be used as written."""
+    for fault in deployment.faults[:MAX_LOGGED_FAULTS]:
+        logger.bind(
+            config_version=deployment.version,
+            faults=len(deployment.faults),
+            **asdict(fault),
+        ).warning('part of the configuration cannot be used')
--- a/foxtailreach/platform/records.py
+++ b/foxtailreach/platform/records.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
 from dataclasses import replace
 from functools import lru_cache
 from typing import Any
@@ -11,16 +10,10 @@
 from loguru import logger
 
 from foxtailreach.core.dispatch.deployment import (
-    CallerLimits,
     CustomerSpec,
     Deployment,
-    RequestKind,
     RouteSpec,
-    ServiceShare,
-    ServiceSpec,
     TargetSpec,
-    digest_key,
-    index_routes,
 )
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.dispatch.mirror import (
@@ -29,7 +22,9 @@
     TopicMirror,
 )
 from foxtailreach.core.messages import HostEntry
-from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+from foxtailreach.core.units import MILLISECOND_US
+from foxtailreach.exceptions import ConfigurationError
+from foxtailreach.platform.configuration import decode_configuration
 from foxtailreach.platform.settings import parse_address
 
 OPERATOR_TOPIC = 'keyed.op'
@@ -37,12 +32,6 @@
 HOSTS_TOPIC = 'keyed.hosts'
 CONFIGURATION_KEY = 'config'
 EVACUATION_PREFIX = 'evacuate/'
-_KINDS = {
-    'safe': RequestKind.IDEMPOTENT,
-    'unsafe': RequestKind.AT_MOST_ONCE,
-    'download': RequestKind.DOWNLOAD,
-}
-_HEX_BASE = 16
 _DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 # Weight of a customer's priority, which takes precedence over the route's.
 CUSTOMER_PRIORITY_WEIGHT = 1000
@@ -225,101 +214,14 @@
 @lru_cache(maxsize=2)
 def _decode_configuration(payload: bytes) -> Deployment | None:
     try:
-        return _build_deployment(json.loads(payload))
-    except _DECODE_ERRORS as error:
+        return decode_configuration(payload)
+    except ConfigurationError as error:
         logger.error(
-            'configuration refused, the last good one stays: {!r}', error
+            'configuration refused, the last good one stays: {}', error
         )
         return None
 
 
-def _build_deployment(document: Any) -> Deployment:
-    resources = document['resources']
-    customers = _resources_of_type(resources, 'tenants')
-    digests = {
-        digest_key(key): name
-        for name, fields in customers
-        for key in fields['api_keys']
-    }
-    limits = [fields for _, fields in _resources_of_type(resources, 'limits')]
-    return Deployment(
-        version=int(document['version'], _HEX_BASE),
-        routes=index_routes(
-            _route(name, fields)
-            for name, fields in _resources_of_type(resources, 'routes')
-        ),
-        services={
-            name: _service(name, fields)
-            for name, fields in _resources_of_type(resources, 'services')
-        },
-        customers={name: _customer(name, fields) for name, fields in customers},
-        key_digests=digests,
-        limits=_limits(limits[0]) if limits else CallerLimits(),
-    )
-
-
-def _resources_of_type(
-    resources: Iterable[Any],
-    resource_type: str,
-) -> list[tuple[str, Any]]:
-    return [
-        (resource['metadata'].get('name', ''), resource['spec'])
-        for resource in resources
-        if resource['resource_type'] == resource_type
-    ]
-
-
-def _route(name: str, fields: Any) -> RouteSpec:
-    split = fields.get('traffic_split')
-    if split:
-        shares = tuple(
-            ServiceShare(part['service'], part['weight']) for part in split
-        )
-    else:
-        shares = (ServiceShare(fields['service'], 1),)
-    return RouteSpec(
-        name=name,
-        host=fields['host'].lower(),
-        path_prefix=fields['path_prefix'],
-        kind=_KINDS[fields['kind']],
-        shares=shares,
-        objective_us=int(
-            fields.get('target_latency_ms', 1000) * MILLISECOND_US,
-        ),
-        timeout_us=int((fields.get('timeout_ms') or 0) * MILLISECOND_US),
-        max_attempts=fields.get('max_attempts') or 1,
-        priority=fields.get('priority') or 0,
-        is_open=bool(fields.get('public')),
-    )
-
-
-def _service(name: str, fields: Any) -> ServiceSpec:
-    return ServiceSpec(
-        name=name,
-        max_connections=fields.get('max_connections') or 0,
-        warm_up_us=int((fields.get('warmup_s') or 0) * SECOND_US),
-        warm_up_rate_per_s=fields.get('warmup_per_s') or 0,
-    )
-
-
-def _customer(name: str, fields: Any) -> CustomerSpec:
-    return CustomerSpec(
-        name=name,
-        priority=fields.get('priority') or 0,
-        rate_per_s=fields.get('rate_per_s') or 0,
-        burst_requests=fields.get('burst') or 0,
-    )
-
-
-def _limits(fields: Any) -> CallerLimits:
-    return CallerLimits(
-        max_header_bytes=fields['max_header_bytes'],
-        max_body_bytes=fields['max_body_bytes'],
-        header_timeout_us=fields['header_timeout_ms'] * MILLISECOND_US,
-        idle_timeout_us=fields['idle_timeout_ms'] * MILLISECOND_US,
-    )
-
-
 def _string(fields: Any, name: str) -> str:
     value = fields[name]
     if not isinstance(value, str) or not value:
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -428,3 +428,28 @@
     )
     assert grants(new_effects)[0].target_id == grant.target_id
     assert grants(new_effects)[0].proven_age_us >= 0
+
+
+@pytest.mark.parametrize(
+    ('kind', 'chosen_id'),
+    [(RequestKind.UPLOAD, 't1'), (RequestKind.AT_MOST_ONCE, 't0')],
+)
+def test_upload_stays_in_its_domain_while_evidence_there_is_recent(
+    kind: RequestKind,
+    chosen_id: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The target of the caller's domain succeeded a second earlier."""
+    monkeypatch.setattr(cover, 'MIN_REQUESTS_PER_TARGET', 1000)
+    broker = create_broker(0)
+    targets = [spec(0, domain='d1'), spec(1, domain='d2')]
+    broker.update_targets(SERVICE, targets, frozenset(), START_US)
+    served = {'t0': SECOND_US, 't1': 0}
+    for target_id, served_us in served.items():
+        evidence = messages.TargetEvidence(target_id, SECOND_US - served_us, -1)
+        digest = messages.EvidenceDigest('svc', (evidence,))
+        broker.merge_evidence(digest, START_US + SECOND_US)
+    now_us = START_US + SECOND_US
+    request = slot_request(1, kind=kind)
+    new_effects = broker.request_slot('h1', 'd2', request, now_us)
+    assert grants(new_effects)[0].target_id == chosen_id
--- a/foxtailreach/tests/gateway/proxy_tests.py
+++ b/foxtailreach/tests/gateway/proxy_tests.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from http import HTTPStatus
 
 import pytest
@@ -26,7 +27,7 @@
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import SECOND_US
-from foxtailreach.core.verdict import Verdict
+from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway import proxy as proxy_module
 from foxtailreach.gateway.fleet_client import Charge, GrantedSlot
@@ -202,6 +203,33 @@
     assert (answer.status, answer.verdict) == (status, verdict)
 
 
+@pytest.mark.parametrize(
+    ('route', 'customer', 'reason'),
+    [
+        (replace(ROUTE, shares=()), CustomerSpec('c'), Reason.NO_SERVICE),
+        (
+            ROUTE,
+            CustomerSpec('c', has_known_limit=False),
+            Reason.LIMIT_UNAVAILABLE,
+        ),
+    ],
+)
+def test_unusable_part_of_a_configuration_is_refused_as_not_run(
+    route: RouteSpec, customer: CustomerSpec, reason: Reason
+) -> None:
+    deployment = Deployment(
+        1,
+        index_routes([route]),
+        {'svc': SERVICE},
+        {'c': customer},
+        {digest_key('key'): 'c'},
+    )
+    proxy = create_proxy(ScriptedFleet([SendOutcome.SERVED]), deployment)
+    answer = asyncio.run(proxy.handle(caller_request('key')))
+    assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert (answer.verdict, answer.reason) == (Verdict.NOT_RUN, reason)
+
+
 def test_caller_that_leaves_while_it_is_charged_returns_its_slot(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
