--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -34,6 +34,7 @@
 from foxtailreach.gateway.metrics import GatewayMetrics
 from foxtailreach.gateway.peers import PeerEndpoint, StateServer
 from foxtailreach.gateway.proxy import GetPriority, Proxy
+from foxtailreach.gateway.request_reader import BodyBudget, ReaderOptions
 from foxtailreach.gateway.router import MessageRouter
 from foxtailreach.gateway.settings import Address, GatewaySettings
 from foxtailreach.gateway.state_feed import FeedDependencies, StateFeed
@@ -98,8 +99,10 @@
             self._record,
             rng,
         )
+        self._bodies = BodyBudget(settings.max_body_memory_bytes)
         self._frontend = Frontend(
-            options.header_names, self._limits, proxy.handle
+            ReaderOptions(options.header_names, self._limits, self._bodies),
+            proxy.handle,
         )
         self._feed = options.create_feed(
             FeedDependencies(
@@ -237,6 +240,7 @@
             'store_calls': self._feed.store_calls,
             'hosts_usable': len(self._node.membership.usable_hosts()),
             'hosts_known': len(self._node.membership.hosts),
+            'body_memory_bytes': self._bodies.held_bytes,
             'connections_opened': self._upstream.opened,
             'connections_reused': self._upstream.reused,
             'datagrams_sent': self._peers.sent,
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -11,8 +12,7 @@
 
 RawHeaders = list[tuple[bytes, bytes]]
 
-_MS_PER_S = 1000
-_US_PER_S = 1_000_000
+_US_PER_HUNDREDTH_S = 10_000
 # Hop-by-hop headers, and those that the gateway handles or sets itself.
 _HOP_BY_HOP = frozenset(
     (
@@ -159,8 +159,9 @@
     body = json.dumps({'verdict': verdict, 'reason': reason}).encode()
     headers = [(b'content-type', b'application/json')]
     if retry_after_us:
-        seconds = retry_after_us / _US_PER_S
-        headers.append((b'retry-after', f'{seconds:.2f}'.encode()))
+        hundredths = math.ceil(retry_after_us / _US_PER_HUNDREDTH_S)
+        text = f'{hundredths // 100}.{hundredths % 100:02}'
+        headers.append((b'retry-after', text.encode()))
     if status == HTTPStatus.UNAUTHORIZED:
         headers.append((b'www-authenticate', b'Token'))
     return CallerAnswer(
--- /dev/null
+++ b/foxtailreach/gateway/request_reader.py
@@ -0,0 +1,329 @@
+"""Reads the requests of one connection, within the limits for callers.
+
+Load pattern: many callers send large bodies at once, some stop halfway. The
+memory for bodies is bounded over all connections; a body that does not fit is
+rejected before it is read, and one that stalls does not outlive its request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import h11
+from tornado.iostream import IOStream
+
+from foxtailreach.core.dispatch.deployment import CallerLimits
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+from foxtailreach.core.verdict import Reason, Verdict
+from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.http_types import (
+    CallerAnswer,
+    CallerRequest,
+    HeaderNames,
+    RawHeaders,
+    find_header,
+    refusal,
+)
+
+READ_BYTES = 65_536
+# Time limit for requests without a deadline header.
+DEFAULT_TIME_LEFT_US = 30 * SECOND_US
+# A body is held twice for a moment, when its parts are joined.
+BODY_COPIES = 2
+BODY_RETRY_AFTER_US = SECOND_US
+DOT_SEGMENTS = frozenset((b'.', b'..'))
+
+GetLimits = Callable[[], CallerLimits]
+
+
+class RequestError(Exception):
+    """A request that cannot be accepted; holds the answer to send."""
+
+    def __init__(self, answer: CallerAnswer) -> None:
+        """Store the answer."""
+        super().__init__(answer.status)
+        self.answer = answer
+
+
+class BodyBudget:
+    """Bounds the memory for request bodies over all connections of a host."""
+
+    __slots__ = ('_limit_bytes', 'held_bytes')
+
+    def __init__(self, limit_bytes: int) -> None:
+        """Start without bodies."""
+        self._limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Reserve memory for a body; return False if there is not enough."""
+        held_bytes = self.held_bytes + size_bytes * BODY_COPIES
+        if held_bytes > self._limit_bytes:
+            return False
+        self.held_bytes = held_bytes
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Release the memory for a body."""
+        self.held_bytes -= size_bytes * BODY_COPIES
+
+
+@dataclass(slots=True, frozen=True)
+class ReaderOptions:
+    """What all connections of a host share."""
+
+    header_names: HeaderNames
+    limits: GetLimits
+    bodies: BodyBudget
+
+
+class RequestReader:
+    """Reads requests from a stream, one after the other.
+
+    `is_reading` tells that a request has begun to arrive.
+    """
+
+    __slots__ = ('_buffer', '_options', '_stream', 'is_reading')
+
+    def __init__(self, stream: IOStream, options: ReaderOptions) -> None:
+        """Read from a stream that nobody else reads from."""
+        self.is_reading = False
+        self._stream = stream
+        self._options = options
+        self._buffer = b''
+
+    async def wait_for_bytes(self) -> bool:
+        """Wait for the first bytes of a request; false on an idle timeout."""
+        self.is_reading = False
+        if not self._buffer:
+            idle_s = self._limits.idle_timeout_us / SECOND_US
+            try:
+                async with asyncio.timeout(idle_s):
+                    self._buffer = await self._read_chunk()
+            except TimeoutError:
+                return False
+        return True
+
+    async def read(self, parser: h11.Connection) -> CallerRequest | None:
+        """Return the request that has begun; None if the caller closed.
+
+        The memory for its body is reserved until `release` is called. Raises
+        RequestError on a malformed or oversized request, or one that does not
+        arrive in time.
+        """
+        self.is_reading = True
+        received_us = boot_time_us()
+        parser.receive_data(self._buffer)
+        self._buffer = b''
+        try:
+            async with asyncio.timeout(
+                self._limits.header_timeout_us / SECOND_US
+            ):
+                head = await self._read_head(parser)
+        except TimeoutError as error:
+            raise _timed_out() from error
+        if head is None:
+            return None
+        request = self._request(head, received_us)
+        request.body = await self._read_whole_body(parser, head, request)
+        trailing, _ = parser.trailing_data
+        self._buffer = bytes(trailing)
+        return request
+
+    def release(self, request: CallerRequest) -> None:
+        """Release the memory for the body of an answered request."""
+        self._options.bodies.release(len(request.body))
+
+    @property
+    def _limits(self) -> CallerLimits:
+        return self._options.limits()
+
+    async def _read_head(self, parser: h11.Connection) -> h11.Request | None:
+        while True:
+            event = _next_event(parser)
+            match event:
+                case h11.Request():
+                    _check_head(event, self._limits)
+                    return event
+                case h11.NEED_DATA:
+                    parser.receive_data(await self._read_chunk())
+                case _:
+                    return None
+
+    async def _read_whole_body(
+        self,
+        parser: h11.Connection,
+        head: h11.Request,
+        request: CallerRequest,
+    ) -> bytes:
+        """Read a body before the request's deadline, within the memory."""
+        body = _PartialBody(self._options.bodies, self._limits.max_body_bytes)
+        length = find_header(list(head.headers), b'content-length')
+        is_complete = False
+        try:
+            body.reserve(int(length or 0))
+            async with asyncio.timeout(request.time_left_us / SECOND_US):
+                await self._read_body(parser, body)
+            is_complete = True
+        except TimeoutError as error:
+            raise _timed_out() from error
+        finally:
+            if not is_complete:
+                body.release()
+        return bytes(body.received)
+
+    async def _read_body(
+        self, parser: h11.Connection, body: _PartialBody
+    ) -> None:
+        while True:
+            event = _next_event(parser)
+            match event:
+                case h11.Data(data=chunk):
+                    body.add(chunk)
+                case h11.EndOfMessage():
+                    return
+                case h11.NEED_DATA:
+                    await self._send_continue(parser)
+                    parser.receive_data(await self._read_chunk())
+                case _:
+                    raise RequestError(malformed_answer(HTTPStatus.BAD_REQUEST))
+
+    async def _send_continue(self, parser: h11.Connection) -> None:
+        if parser.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(
+                status_code=100, headers=[]
+            )
+            await self._stream.write(parser.send(continue_response) or b'')
+
+    async def _read_chunk(self) -> bytes:
+        chunk: bytes = await self._stream.read_bytes(READ_BYTES, partial=True)
+        return chunk
+
+    def _request(self, head: h11.Request, received_us: int) -> CallerRequest:
+        """Build a request whose body has not been read."""
+        headers = list(head.headers.raw_items())
+        header_names = self._options.header_names
+        left_ms = find_header(headers, header_names.time_left_ms)
+        time_left_us = DEFAULT_TIME_LEFT_US
+        if left_ms.isdigit():
+            time_left_us = int(left_ms) * MILLISECOND_US
+        return CallerRequest(
+            method=bytes(head.method),
+            path=bytes(head.target),
+            headers=headers,
+            body=b'',
+            received_us=received_us,
+            request_id=find_header(headers, header_names.request_id).decode(
+                'latin-1'
+            ),
+            time_left_us=time_left_us,
+            key=_parse_key(
+                find_header(headers, b'authorization'), header_names.key_scheme
+            ),
+        )
+
+
+class _PartialBody:
+    """A body that is being read, and the memory reserved for it."""
+
+    __slots__ = ('_budget', '_limit_bytes', '_reserved_bytes', 'received')
+
+    def __init__(self, budget: BodyBudget, limit_bytes: int) -> None:
+        self.received = bytearray()
+        self._budget = budget
+        self._limit_bytes = limit_bytes
+        self._reserved_bytes = 0
+
+    def add(self, chunk: bytes | bytearray) -> None:
+        """Append a chunk; bodies of unknown length reserve as they grow."""
+        _check_size(len(self.received) + len(chunk), self._limit_bytes)
+        missing = len(self.received) + len(chunk) - self._reserved_bytes
+        self.reserve(max(0, missing))
+        self.received += chunk
+
+    def reserve(self, size_bytes: int) -> None:
+        """Reserve more memory; raise RequestError if there is not enough."""
+        if not self._budget.reserve(size_bytes):
+            raise RequestError(
+                refusal(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    Verdict.NOT_RUN,
+                    Reason.OVERLOAD,
+                    BODY_RETRY_AFTER_US,
+                    must_close=True,
+                ),
+            )
+        self._reserved_bytes += size_bytes
+
+    def release(self) -> None:
+        """Release the memory of a body that was not read to its end."""
+        self._budget.release(self._reserved_bytes)
+
+
+def malformed_answer(status: HTTPStatus) -> CallerAnswer:
+    """Build the answer to a request that cannot be accepted as it is."""
+    return refusal(
+        status,
+        Verdict.NOT_RUN,
+        Reason.MALFORMED,
+        must_close=True,
+    )
+
+
+def _timed_out() -> RequestError:
+    return RequestError(malformed_answer(HTTPStatus.REQUEST_TIMEOUT))
+
+
+def _next_event(parser: h11.Connection) -> object:
+    try:
+        return parser.next_event()
+    except h11.RemoteProtocolError as error:
+        status = HTTPStatus(error.error_status_hint)
+        raise RequestError(malformed_answer(status)) from error
+
+
+def _check_head(head: h11.Request, limits: CallerLimits) -> None:
+    """Reject ambiguous heads, and bodies and headers over the limits.
+
+    Two parsers could disagree on the end of a request that has both
+    Content-Length and Transfer-Encoding, on which of two keys counts, and on
+    the route of a path with dot segments.
+    """
+    headers = list(head.headers)
+    length = find_header(headers, b'content-length')
+    is_ambiguous = (
+        length and find_header(headers, b'transfer-encoding')
+    ) or _count_headers(headers, b'authorization') > 1
+    if is_ambiguous or _has_dot_segments(bytes(head.target)):
+        raise RequestError(malformed_answer(HTTPStatus.BAD_REQUEST))
+    _check_size(int(length or 0), limits.max_body_bytes)
+    size_bytes = sum(len(name) + len(text) + 4 for name, text in headers)
+    if size_bytes > limits.max_header_bytes:
+        too_large = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        raise RequestError(malformed_answer(too_large))
+
+
+def _count_headers(headers: RawHeaders, name: bytes) -> int:
+    return sum(header.lower() == name for header, _ in headers)
+
+
+def _has_dot_segments(target: bytes) -> bool:
+    path = target.partition(b'?')[0].lower().replace(b'%2e', b'.')
+    return not DOT_SEGMENTS.isdisjoint(path.split(b'/'))
+
+
+def _check_size(size_bytes: int, limit_bytes: int) -> None:
+    if size_bytes > limit_bytes:
+        raise RequestError(
+            malformed_answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        )
+
+
+def _parse_key(credentials: bytes, scheme: bytes) -> str:
+    name, _, key = credentials.partition(b' ')
+    if name.lower() != scheme:
+        return ''
+    return key.strip().decode('latin-1')
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -23,6 +23,7 @@
 
     `seeds` are addresses of some hosts of the fleet and may be outdated; only
     their IP addresses are used, with this host's own peer port.
+    `max_body_memory_bytes` bounds the memory for the bodies of all requests.
     """
 
     host_id: str
@@ -35,6 +36,7 @@
     store: Address
     seeds: tuple[Address, ...]
     stop_grace_us: int
+    max_body_memory_bytes: int
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
 
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -18,6 +18,10 @@
 # Each broker uses half of the retry budget, as several brokers of one service
 # may be active during a network partition.
 BROKER_BUDGET_SHARE = 0.5
+DEFAULT_MEMORY_MB = 200
+# The process itself takes 40 MB of 200; answers in flight share the rest.
+BODY_MEMORY_SHARE = 0.4
+BYTES_PER_MB = 1024 * 1024
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError)
 
 
@@ -69,6 +73,11 @@
         store=parse_address(table['platform']['address']),
         seeds=tuple(map(parse_address, table.get('seeds', ()))),
         stop_grace_us=int(bounds.get('grace_s', 6) * SECOND_US),
+        max_body_memory_bytes=int(
+            table.get('limits', {}).get('memory_mb', DEFAULT_MEMORY_MB)
+            * BODY_MEMORY_SHARE
+            * BYTES_PER_MB
+        ),
         retry_policy=RetryPolicy(
             ratio=bounds.get('retry_budget_ratio', 0.2) * BROKER_BUDGET_SHARE,
             window_us=int(bounds.get('retry_window_s', 10) * SECOND_US),
--- a/foxtailreach/tests/gateway/frontend_tests.py
+++ b/foxtailreach/tests/gateway/frontend_tests.py
@@ -10,9 +10,14 @@
 from tornado.testing import bind_unused_port
 
 from foxtailreach.core.dispatch.deployment import CallerLimits
-from foxtailreach.core.verdict import Verdict
+from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.gateway.frontend import Frontend
-from foxtailreach.gateway.http_types import CallerAnswer, CallerRequest
+from foxtailreach.gateway.http_types import (
+    CallerAnswer,
+    CallerRequest,
+    refusal,
+)
+from foxtailreach.gateway.request_reader import BodyBudget, ReaderOptions
 from foxtailreach.tests.gateway.upstream_tests import HEADER_NAMES
 
 LIMITS = CallerLimits(
@@ -31,8 +36,12 @@
 @contextlib.asynccontextmanager
 async def frontend(
     handle: Handle = echo,
+    bodies: BodyBudget | None = None,
 ) -> AsyncIterator[tuple[Frontend, int]]:
-    server = Frontend(HEADER_NAMES, lambda: LIMITS, handle)
+    options = ReaderOptions(
+        HEADER_NAMES, lambda: LIMITS, bodies or BodyBudget(100_000)
+    )
+    server = Frontend(options, handle)
     sock, port = bind_unused_port()
     server.add_socket(sock)
     try:
@@ -54,6 +63,7 @@
 
 
 HEAD = b'POST /a/ HTTP/1.1\r\nhost: h\r\nx-id: r1\r\n'
+CLOSE = b'connection: close\r\ncontent-length: 0\r\n\r\n'
 
 
 @pytest.mark.parametrize(
@@ -77,6 +87,25 @@
         ((HEAD + b'x-long: ' + b'a' * 3000 + b'\r\n\r\n',), b'431'),
         ((b'not http at all\r\n\r\n',), b'400'),
         ((HEAD,), b'408'),
+        # A body that stops halfway, with and without a length.
+        ((HEAD + b'x-left: 100\r\ncontent-length: 9\r\n\r\nhi',), b'408'),
+        (
+            (
+                HEAD + b'x-left: 100\r\ntransfer-encoding: chunked\r\n\r\n'
+                b'2\r\nhi\r\n',
+            ),
+            b'408',
+        ),
+        (
+            (
+                HEAD + b'authorization: Token a\r\nauthorization: Token b\r\n'
+                b'content-length: 0\r\n\r\n',
+            ),
+            b'400',
+        ),
+        ((HEAD.replace(b'/a/', b'/a/../b') + b'\r\n',), b'400'),
+        ((HEAD.replace(b'/a/', b'/a/%2E./b') + b'\r\n',), b'400'),
+        ((HEAD.replace(b'/a/', b'/a/..b?x=/../') + CLOSE,), b'200'),
     ],
 )
 def test_status_of_a_request(chunks: tuple[bytes, ...], status: bytes) -> None:
@@ -130,3 +159,87 @@
             )
 
     assert asyncio.run(scenario()).endswith(b'hi')
+
+
+async def refuse(request: CallerRequest) -> CallerAnswer:
+    return refusal(503, Verdict.NOT_RUN, Reason.OVERLOAD, 1000)
+
+
+def test_refused_head_request_is_answered_without_a_body() -> None:
+    async def scenario() -> bytes:
+        async with frontend(refuse) as (_, port):
+            head = HEAD.replace(b'POST', b'HEAD')
+            return await send_chunks(port, head + CLOSE)
+
+    answer = asyncio.run(scenario())
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert answer.endswith(b'\r\n\r\n')
+
+
+@pytest.mark.parametrize(
+    ('retry_after_us', 'text'),
+    [(1000, b'0.01'), (10_000, b'0.01'), (1_234_000, b'1.24')],
+)
+def test_retry_after_is_not_rounded_to_zero(
+    retry_after_us: int, text: bytes
+) -> None:
+    answer = refusal(503, Verdict.NOT_RUN, Reason.OVERLOAD, retry_after_us)
+    assert (b'retry-after', text) in answer.headers
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'content-length: 900\r\n\r\n' + b'a' * 900,
+        b'transfer-encoding: chunked\r\n\r\n384\r\n'
+        + b'a' * 900
+        + b'\r\n0\r\n\r\n',
+    ],
+)
+def test_bodies_of_many_callers_stay_within_the_memory(framing: bytes) -> None:
+    """Two of three bodies of 900 bytes fit, each held twice at most."""
+    budget = BodyBudget(4 * 900)
+
+    async def scenario() -> list[bytes]:
+        release = asyncio.Event()
+
+        async def hold(request: CallerRequest) -> CallerAnswer:
+            await release.wait()
+            return await echo(request)
+
+        async with frontend(hold, budget) as (_, port):
+            message = HEAD + b'connection: close\r\n' + framing
+            tasks = []
+            for _ in range(3):
+                tasks.append(asyncio.ensure_future(send_chunks(port, message)))
+                await asyncio.sleep(0.05)
+            release.set()
+            return list(await asyncio.gather(*tasks))
+
+    answers = asyncio.run(scenario())
+    assert [answer[9:12] for answer in answers] == [b'200', b'200', b'503']
+    assert b'"not-run"' in answers[2]
+    assert not budget.held_bytes
+
+
+@pytest.mark.parametrize(
+    'rest', [b'content-length: 900\r\n\r\nhi', b'content-length: 2\r\n\r\nhi']
+)
+def test_caller_that_leaves_frees_the_memory_of_its_body(rest: bytes) -> None:
+    budget = BodyBudget(10_000)
+
+    async def scenario() -> None:
+        async def hang(request: CallerRequest) -> CallerAnswer:
+            await asyncio.sleep(5)
+            return await echo(request)
+
+        async with frontend(hang, budget) as (_, port):
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(HEAD + rest)
+            await asyncio.sleep(0.05)
+            assert budget.held_bytes
+            writer.close()
+            await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
+    assert not budget.held_bytes
--- a/foxtailreach/tests/platform/feed_tests.py
+++ b/foxtailreach/tests/platform/feed_tests.py
@@ -33,6 +33,7 @@
         readiness=unused_address,
         store=unused_address,
         seeds=(),
+        max_body_memory_bytes=2**20,
         stop_grace_us=0,
         retry_policy=RETRY_POLICY,
         limit_policy=LIMIT_POLICY,
