--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -65,6 +65,7 @@
     """A granted slot; `is_probe` if its target had no fresh evidence."""
 
     grant: messages.SlotGrant
+    granted_us: int
     expires_us: int
     is_probe: bool
 
@@ -199,11 +200,23 @@
         self._release(host_id, ask_id)
         return self._serve_queue(now_us)
 
+    def oldest_grants(self) -> dict[str, int]:
+        """Return the time of the oldest grant of each host with slots."""
+        oldest_us: dict[str, int] = {}
+        for (host_id, _), lease in self._leases.items():
+            known_us = oldest_us.get(host_id, lease.granted_us)
+            oldest_us[host_id] = min(known_us, lease.granted_us)
+        return oldest_us
+
     def host_lost(self, host_id: str, now_us: int) -> Effects:
-        """Release all slots that a lost host held."""
+        """Release all slots that a lost host held.
+
+        Its requests in flight count as not served.
+        """
         holders = [holder for holder in self._leases if holder[0] == host_id]
         for holder in holders:
             self._release(*holder)
+            self._outcomes.record_request(now_us, is_served=False)
         return self._serve_queue(now_us)
 
     def record_turned_away(self, now_us: int) -> None:
@@ -360,7 +373,7 @@
             started_ms=record.spec.started_ms,
             proven_age_us=proven_age_us,
         )
-        self._leases[holder] = Lease(grant, expires_us, is_probe)
+        self._leases[holder] = Lease(grant, now_us, expires_us, is_probe)
         return messages.SendHost(waiter.host_id, grant)
 
     def _apply_report(
--- a/foxtailreach/core/dispatch/contact.py
+++ b/foxtailreach/core/dispatch/contact.py
@@ -2,7 +2,8 @@
 
 A failure domain that is cut off serves its own callers. Heartbeats between
 neighbours find that out one host at a time, and not at all for hosts without a
-neighbour in the domain. So each host also listens for the domains as a whole.
+neighbour in the domain. So the coordinators also listen for the domains as a
+whole, and the reader of each domain tells its hosts which ones are cut off.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import random
 from collections.abc import Iterable, Iterator
 
+from foxtailreach.core.dispatch.coordinators import Coordinators
 from foxtailreach.core.membership import Membership
 from foxtailreach.core.messages import Liveness
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
@@ -22,12 +24,15 @@
 # A domain that is silent for this long is pinged, and later taken for cut off.
 KEEP_ALIVE_US = 400 * MILLISECOND_US
 CUT_OFF_AFTER_US = 2 * SECOND_US
+# What a reader told is forgotten when two of its notices are missing.
+TOLD_VALID_US = 1800 * MILLISECOND_US
 
 
 class DomainContact:
     """Times of the last message from each failure domain."""
 
     __slots__ = (
+        '_coordinators',
         '_domain',
         '_grouped_version',
         '_heard_us',
@@ -37,17 +42,25 @@
         '_next_keep_alive_us',
         '_next_ping_us',
         '_rng',
+        '_told_cut_off',
+        '_told_us',
+        '_was_coordinator',
     )
 
     def __init__(
         self,
         membership: Membership,
+        coordinators: Coordinators,
         domain: str,
         rng: random.Random,
         now_us: int,
     ) -> None:
         """Create a record for a host of `domain`, without messages."""
         self._membership = membership
+        self._coordinators = coordinators
+        self._told_cut_off: frozenset[str] = frozenset()
+        self._told_us = 0
+        self._was_coordinator = False
         self._domain = domain
         self._rng = rng
         self._heard_us: dict[str, int] = {}
@@ -61,6 +74,11 @@
         """Record a message from a host of a domain."""
         self._heard_us[domain] = now_us
 
+    def record_told(self, cut_off: Iterable[str], now_us: int) -> None:
+        """Record which domains are cut off, by the reader of this domain."""
+        self._told_cut_off = frozenset(cut_off) - {self._domain}
+        self._told_us = now_us
+
     def listen_again(self) -> None:
         """Forget for how long the domains were silent, after a pause."""
         self._listening_since_us.clear()
@@ -83,7 +101,17 @@
         return float(2 * len(heard) > len(domains))
 
     def cut_off(self, now_us: int) -> frozenset[str]:
-        """Return the domains that have been silent for too long."""
+        """Return the domains that have been silent for too long.
+
+        A host that is no coordinator relies on the reader of its domain.
+        """
+        is_coordinator = self._coordinators.is_one
+        if is_coordinator and not self._was_coordinator:
+            self.listen_again()
+        self._was_coordinator = is_coordinator
+        if not is_coordinator:
+            is_valid = now_us - self._told_us < TOLD_VALID_US
+            return self._told_cut_off if is_valid else frozenset()
         return frozenset(
             domain
             for domain in self._live_hosts()
@@ -104,8 +132,11 @@
         return self._choose_hosts(silent, PINGED_HOSTS)
 
     def hosts_to_keep_alive(self, now_us: int) -> Iterator[str]:
-        """Choose a host of each domain that was silent for a while."""
-        if now_us < self._next_keep_alive_us:
+        """Choose a host of each domain that was silent for a while.
+
+        Only coordinators listen for the domains.
+        """
+        if now_us < self._next_keep_alive_us or not self._coordinators.is_one:
             return iter(())
         self._next_keep_alive_us = now_us + KEEP_ALIVE_US
         silent = [
@@ -119,8 +150,11 @@
     def _choose_hosts(
         self, domains: Iterable[str], count: int
     ) -> Iterator[str]:
+        """Choose coordinators of each domain, or any hosts if none is live."""
         for domain in domains:
-            hosts = self._live_hosts()[domain]
+            live = self._live_hosts()[domain]
+            coordinators = self._coordinators.hosts
+            hosts = [host for host in live if host in coordinators] or live
             yield from self._rng.sample(hosts, min(count, len(hosts)))
 
     def _is_heard(self, domain: str, now_us: int, within_us: int) -> bool:
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -9,34 +9,37 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import cast
 
-from foxtailreach.core import effects
 from foxtailreach.core import messages as core_messages
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.budgets import RetryPolicy
+from foxtailreach.core.dispatch.coordinators import Coordinators
 from foxtailreach.core.dispatch.deployment import (
     CustomerSpec,
     Deployment,
     TargetSpec,
 )
+from foxtailreach.core.dispatch.holder_watch import HolderWatch
+from foxtailreach.core.dispatch.host_messages import Effects, HostMessages
 from foxtailreach.core.dispatch.metering import Metering
 from foxtailreach.core.dispatch.meters import LimitPolicy
 from foxtailreach.core.dispatch.reach import Reach
 from foxtailreach.core.dispatch.reader_election import ReaderElection
 from foxtailreach.core.dispatch.service_brokers import Requester, ServiceBrokers
-from foxtailreach.core.gossip import GossipSpreader
 from foxtailreach.core.log_freshness import LogFreshness
 from foxtailreach.core.membership import HeartbeatTiming, Membership
-from foxtailreach.core.ranking import rank_candidates
+from foxtailreach.core.ranking import rank_candidates, top_candidate
 from foxtailreach.core.units import MILLISECOND_US
 
 # Hosts that use a lost broker detect the loss within 0.2 s; heartbeats only
-# inform the others, so they may be slower.
+# inform the others, so they may be slower. Hosts that are no coordinators are
+# watched more slowly: a broker checks by itself whether those that hold its
+# slots are alive.
 HEARTBEAT_TIMING = HeartbeatTiming(
     interval_us=500 * MILLISECOND_US,
     suspect_after_us=1100 * MILLISECOND_US,
     down_after_us=500 * MILLISECOND_US,
+    ring_rounds=2,
 )
 # Long enough to lose two rounds of heartbeats with three neighbours, and their
 # answers.
@@ -46,9 +49,6 @@
 # Hosts that are asked in turn.
 MIN_RANKED_HOSTS = 2
 
-Effects = list[messages.SendHost | effects.Note]
-GossipEffects = list[effects.Effect]
-
 
 @dataclass(slots=True, frozen=True)
 class FleetConfig:
@@ -66,7 +66,9 @@
     __slots__ = (
         '_brokers',
         '_config',
-        '_gossip_spreader',
+        '_coordinators',
+        '_holders',
+        '_host_messages',
         '_last_heard_us',
         '_metering',
         '_reach',
@@ -97,14 +99,25 @@
             HEARTBEAT_TIMING,
         )
         self.membership.apply_host_list([config.entry], now_us)
-        self.election = ReaderElection(self.membership, config.entry.domain)
+        self._coordinators = Coordinators(self.membership)
+        self.election = ReaderElection(
+            self.membership, self._coordinators, config.entry.domain
+        )
         self.deployment: Deployment | None = None
         self.targets: tuple[TargetSpec, ...] = ()
         self.evacuated: frozenset[str] = frozenset()
-        self._gossip_spreader = GossipSpreader(self.membership, rng)
         self._brokers = ServiceBrokers(config.retry_policy, rng)
+        self._host_messages = HostMessages(
+            config.entry,
+            self.membership,
+            self._coordinators,
+            self._brokers.host_lost,
+            rng,
+        )
+        self._holders = HolderWatch()
         self._reach = Reach(
             self.membership,
+            self._coordinators,
             config.entry.domain,
             config.limit_policy.metered_us,
             rng,
@@ -142,7 +155,7 @@
 
     def broker_hosts(self, service: str, now_us: int) -> list[str]:
         """Rank the hosts that may broker a service, the first to ask first."""
-        return self._ranked(f'service/{service}', now_us)
+        return self._ranked(_service_subject(service), now_us)
 
     def meter_hosts(self, customer: str, now_us: int) -> list[str]:
         """Rank the hosts that may meter a customer, the first to ask first.
@@ -189,29 +202,30 @@
 
     def update_hosts(
         self,
-        entries: Iterable[core_messages.HostEntry],
+        registrations: Iterable[messages.HostAnnounced],
         now_us: int,
-    ) -> list[core_messages.HostEntry]:
-        """Add the hosts of the platform's list; return the unknown ones."""
+    ) -> Effects:
+        """Add the hosts of the platform's list, and their processes."""
         self._metering.has_host_list = True
-        return self._add_hosts(entries, now_us)
+        return self._host_messages.register(registrations, now_us)
 
-    def _add_hosts(
-        self,
-        entries: Iterable[core_messages.HostEntry],
-        now_us: int,
-    ) -> list[core_messages.HostEntry]:
-        known = {
-            host_id: state.entry
-            for host_id, state in self.membership.hosts.items()
-        }
-        listed = {entry.host_id: entry for entry in entries}
-        listed[self.host_id] = self._config.entry
-        added = [
-            entry for host_id, entry in listed.items() if host_id not in known
+    def coordinators_of_domain(self) -> list[str]:
+        """List the other coordinators of this host's failure domain."""
+        return [
+            host_id
+            for host_id in self._coordinators.of_domain(
+                self._config.entry.domain
+            )
+            if host_id != self.host_id and self.membership.is_usable(host_id)
         ]
-        self.membership.apply_host_list({**known, **listed}.values(), now_us)
-        return added
+
+    def cut_off_domains(self, now_us: int) -> frozenset[str]:
+        """Return the failure domains that are out of contact."""
+        return self._reach.contact.cut_off(now_us)
+
+    def record_told(self, cut_off: Iterable[str], now_us: int) -> None:
+        """Record which domains are cut off, by the reader of this domain."""
+        self._reach.contact.record_told(cut_off, now_us)
 
     def announcement(self) -> messages.HostAnnounced:
         """Build the message that introduces this host to others."""
@@ -222,9 +236,7 @@
 
     def leave(self, now_us: int) -> Effects:
         """Announce that this host leaves, and copy its meters."""
-        new_effects = self._to_messages(
-            [effects.SpreadGossip(self.membership.leave())],
-        )
+        new_effects = self._host_messages.leave()
         new_effects.extend(self._metering.leave(now_us))
         return new_effects
 
@@ -245,12 +257,13 @@
     def tick(self, now_us: int) -> Effects:
         """Send heartbeats, and expire leases and waiting requests."""
         self._reach.record_activity(now_us)
-        new_effects = self._to_messages(self.membership.tick(now_us, 0))
+        new_effects = self._host_messages.tick(now_us)
         for host_id in self._reach.contact.hosts_to_keep_alive(now_us):
             ping = self.membership.create_ping(now_us)
             new_effects.append(messages.SendHost(host_id, ping))
         new_effects.extend(self._metering.watch_membership(now_us))
         new_effects.extend(self._decide_held_charges(now_us))
+        new_effects.extend(self._check_holders(now_us))
         new_effects.extend(self._brokers.tick(self._digest_recipients, now_us))
         return new_effects
 
@@ -263,6 +276,7 @@
             self._reach.record_gap(self._last_heard_us, now_us)
         self._last_heard_us = now_us
         self._suspected.pop(sender, None)
+        self._holders.record_heard(sender, now_us)
         self._reach.contact.record(self._domain_of(sender), now_us)
 
     def _dispatch(
@@ -296,11 +310,12 @@
                 self._metering.merge(sender, message, now_us)
             case messages.EvidenceDigest():
                 self._brokers.merge_remote_outcomes(message, now_us)
-                return self._relay_digest(sender, message)
             case messages.TurnedAway():
                 self._brokers.merge_remote_outcomes(message, now_us)
             case _:
-                new_effects = self._handle_gossip(sender, message, now_us)
+                new_effects = self._host_messages.receive(
+                    sender, message, now_us
+                )
                 new_effects.extend(self._metering.watch_membership(now_us))
                 return new_effects
         return []
@@ -322,39 +337,35 @@
             )
         return new_effects
 
-    def _digest_recipients(self) -> list[str]:
-        """List the hosts of this domain and one host of each other domain.
+    def _digest_recipients(self, service: str) -> list[str]:
+        """List the hosts that may broker a service next.
 
-        Traffic between domains is expensive, so one host of a domain relays
-        the digest. That host is drawn anew each time, because it may be lost or
-        unreachable.
+        These are the next in rank, and the first in rank of each other domain,
+        which brokers the service if its domain is cut off.
         """
-        others: dict[str, list[str]] = {}
-        for host_id in self.membership.others():
-            others.setdefault(self._domain_of(host_id), []).append(host_id)
-        recipients = others.pop(self._config.entry.domain, [])
-        return [
-            *recipients,
-            *(
-                self._rng.choice(domain_hosts)
-                for domain_hosts in others.values()
-            ),
-        ]
-
-    def _relay_digest(
-        self,
-        sender: str,
-        digest: messages.EvidenceDigest,
-    ) -> Effects:
-        """Relay evidence from another domain to the hosts of this one."""
-        domain = self._config.entry.domain
-        if self._domain_of(sender) == domain:
-            return []
-        return [
-            messages.SendHost(host_id, digest)
-            for host_id in self.membership.others()
-            if self._domain_of(host_id) == domain
+        subject = _service_subject(service)
+        recipients = dict.fromkeys(self._reach.current.top(subject))
+        for coordinators in self._coordinators.by_domain().values():
+            usable = filter(self.membership.is_usable, coordinators)
+            first = top_candidate(usable, subject)
+            if first is not None:
+                recipients[first] = None
+        recipients.pop(self.host_id, None)
+        return list(recipients)
+
+    def _check_holders(self, now_us: int) -> Effects:
+        """Ping hosts that hold slots for long; release those of lost ones."""
+        if self._reach.resumed_us == now_us:
+            self._holders.reset()
+        checks = self._holders.check(self._brokers.oldest_grants(), now_us)
+        new_effects: Effects = [
+            messages.SendHost(host_id, self.membership.create_ping(now_us))
+            for host_id in checks.to_ping
+            if host_id != self.host_id
         ]
+        for host_id in checks.lost:
+            new_effects.extend(self._brokers.host_lost(host_id, now_us))
+        return new_effects
 
     def _ranked(self, subject: str, now_us: int) -> list[str]:
         """Rank the reachable hosts without those that are suspected.
@@ -379,106 +390,10 @@
             subject,
         )
 
-    def _handle_gossip(
-        self,
-        sender: str,
-        message: messages.FleetMessage,
-        now_us: int,
-    ) -> Effects:
-        match message:
-            case core_messages.Ping():
-                new_effects = self.membership.handle_ping(
-                    sender, message, now_us
-                )
-            case core_messages.Ack():
-                new_effects = self.membership.handle_ack(
-                    sender, message, now_us
-                )
-            case core_messages.PingRequest():
-                new_effects = self.membership.handle_ping_request(
-                    sender,
-                    message,
-                    now_us,
-                )
-            case core_messages.HostRumor():
-                return self._handle_host_rumor(message, now_us)
-            case messages.HostAnnounced():
-                return self._handle_announcement(message, now_us)
-            case _:
-                return []
-        return self._to_messages(new_effects)
-
-    def _handle_host_rumor(
-        self,
-        gossip_update: core_messages.HostRumor,
-        now_us: int,
-    ) -> Effects:
-        gossip_effects = self.membership.apply_update(gossip_update, now_us)
-        if gossip_effects is None:
-            return []
-        if gossip_update.host_id != self.host_id:
-            gossip_effects.append(
-                effects.SpreadGossip(gossip_update, is_relayed=True),
-            )
-            note = effects.Note(
-                'host',
-                gossip_update.host_id,
-                gossip_update.liveness.value,
-            )
-            gossip_effects.append(note)
-        new_effects = self._to_messages(gossip_effects)
-        if gossip_update.liveness is core_messages.Liveness.DOWN:
-            new_effects.extend(self._host_lost(gossip_update.host_id, now_us))
-        return new_effects
-
-    def _host_lost(self, host_id: str, now_us: int) -> Effects:
-        return list(self._brokers.host_lost(host_id, now_us))
-
-    def _handle_announcement(
-        self,
-        message: messages.HostAnnounced,
-        now_us: int,
-    ) -> Effects:
-        self._add_hosts([message.entry], now_us)
-        gossip_update = core_messages.HostRumor(
-            message.entry.host_id,
-            message.incarnation,
-            core_messages.Liveness.UP,
-        )
-        is_restarted = (
-            self.membership.apply_update(gossip_update, now_us) is not None
-        )
-        if is_restarted:
-            return self._host_lost(message.entry.host_id, now_us)
-        return []
-
-    def _to_messages(self, gossip_effects: GossipEffects) -> Effects:
-        """Convert gossip effects into messages to hosts.
-
-        In small fleets an update goes directly to all hosts.
-        """
-        new_effects: Effects = []
-        for effect in gossip_effects:
-            match effect:
-                case effects.SpreadGossip(
-                    gossip_update=gossip_update,
-                    is_relayed=is_relayed,
-                ):
-                    relayed = (
-                        self._gossip_spreader.relay(gossip_update)
-                        if is_relayed
-                        else self._gossip_spreader.start(gossip_update)
-                    )
-                    new_effects.extend(self._to_messages(relayed))
-                case effects.SendPeer(host_id=host_id, message=message):
-                    fleet_message = cast(messages.FleetMessage, message)
-                    new_effects.append(
-                        messages.SendHost(host_id, fleet_message)
-                    )
-                case effects.Note():
-                    new_effects.append(effect)
-        return new_effects
-
     def _domain_of(self, host_id: str) -> str:
         state = self.membership.hosts.get(host_id)
         return '' if state is None else state.entry.domain
+
+
+def _service_subject(service: str) -> str:
+    return f'service/{service}'
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -230,6 +230,16 @@
     incarnation: int
 
 
+@dataclass(slots=True, frozen=True)
+class HostUnknown:
+    """Asks a host that is not known here to announce itself.
+
+    `host_id` is the host that asks.
+    """
+
+    host_id: str
+
+
 @dataclass(slots=True, frozen=True)
 class TopicVersion:
     """Version of one mirrored topic: it holds all changes below `offset`."""
@@ -243,12 +253,14 @@
     """Announces the versions of the sender's state.
 
     `age_us` is -1 if the state was never read; `is_reading` tells that the
-    sender reads the platform.
+    sender reads the platform. `cut_off` are the failure domains from which
+    the sender has heard nothing for too long.
     """
 
     versions: tuple[TopicVersion, ...]
     age_us: int
     is_reading: bool
+    cut_off: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -309,6 +321,7 @@
     | MeterCopy
     | EvidenceDigest
     | HostAnnounced
+    | HostUnknown
     | StateNotice
     | StatePull
     | StateCopy
--- a/foxtailreach/core/dispatch/reach.py
+++ b/foxtailreach/core/dispatch/reach.py
@@ -1,8 +1,8 @@
-"""The hosts that this host can reach, now and during the last window.
+"""The coordinators that this host can reach, now and in the last window.
 
 Load pattern: hosts are lost, replaced and cut off while customers send more
 than their limits. Whoever meters or brokers is ranked among the reachable
-hosts.
+coordinators.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import random
 
 from foxtailreach.core.dispatch.contact import DomainContact
+from foxtailreach.core.dispatch.coordinators import Coordinators
 from foxtailreach.core.dispatch.host_history import HostHistory, RankedHosts
 from foxtailreach.core.membership import Membership
 from foxtailreach.core.messages import Liveness
@@ -26,15 +27,16 @@
 
 
 class Reach:
-    """Reachable hosts by membership, and by contact with their domains.
+    """Reachable coordinators by membership and contact with their domains.
 
-    `history` are the sets of reachable hosts within the window. `resumed_us` is
-    the time at which this process last continued after a
+    `history` are the sets of reachable coordinators within the window.
+    `resumed_us` is the time at which this process last continued after a
     pause, or 0.
     """
 
     __slots__ = (
         '_absent_since_us',
+        '_coordinators',
         '_last_active_us',
         '_membership',
         '_next_absence_us',
@@ -48,15 +50,19 @@
     def __init__(
         self,
         membership: Membership,
+        coordinators: Coordinators,
         domain: str,
         window_us: int,
         rng: random.Random,
         now_us: int,
     ) -> None:
         """Start with the hosts of `membership`."""
-        self.contact = DomainContact(membership, domain, rng, now_us)
+        self.contact = DomainContact(
+            membership, coordinators, domain, rng, now_us
+        )
         self.resumed_us = 0
         self._membership = membership
+        self._coordinators = coordinators
         self.history = HostHistory(membership.host_id, window_us, now_us)
         self._absent_since_us: dict[str, int] = {}
         self._last_active_us = now_us
@@ -67,12 +73,13 @@
 
     @property
     def current(self) -> RankedHosts:
-        """Return the reachable hosts as of the last update."""
+        """Return the reachable coordinators as of the last update."""
         return self.history.current
 
     def update(self, now_us: int) -> None:
-        """Record the reachable hosts, and the share that is out of reach."""
-        self._record_contact(now_us)
+        """Record the reachable ones, and the share that is out of reach."""
+        if self._coordinators.is_one:
+            self._record_contact(now_us)
         state = (self._membership.version, self.contact.cut_off(now_us))
         if state == self._recorded and now_us < self._next_absence_us:
             return
@@ -82,8 +89,9 @@
         hosts = self._membership.hosts
         reachable = frozenset(
             host_id
-            for host_id in self._membership.usable_hosts()
-            if hosts[host_id].entry.domain not in cut_off
+            for host_id in self._coordinators.hosts
+            if self._membership.is_usable(host_id)
+            and hosts[host_id].entry.domain not in cut_off
         )
         absent_share = self._absent_share(cut_off, now_us)
         self.history.record(reachable, absent_share, now_us)
@@ -113,8 +121,11 @@
             self._out_of_contact_us = 0
 
     def _absent_share(self, cut_off: frozenset[str], now_us: int) -> float:
-        """Return the share of hosts that may meter customers out of reach."""
-        states = self._membership.hosts
+        """Return the share of coordinators that may meter out of reach."""
+        states = {
+            host_id: self._membership.hosts[host_id]
+            for host_id in self._coordinators.hosts
+        }
         absent = {
             host_id: self._absent_since_us.get(host_id, now_us)
             for host_id, state in states.items()
--- a/foxtailreach/core/dispatch/reader_election.py
+++ b/foxtailreach/core/dispatch/reader_election.py
@@ -2,18 +2,17 @@
 
 Load pattern: calls to the platform cost money and share a rate limit for the
 fleet, the platform may reject single hosts, and after an outage all hosts could
-call it at once. So one host per domain reads. If it goes silent, the next in
-rank takes over after a delay that grows with the rank, so that a lost reader
-is replaced without a thundering herd.
+call it at once. So one host per domain reads, a coordinator as long as one can.
+If it goes silent, the next in rank takes over after a delay that grows with the
+rank, so that a lost reader is replaced without a thundering herd.
 """
 
 from __future__ import annotations
 
+from foxtailreach.core.dispatch.coordinators import Coordinators
 from foxtailreach.core.membership import Membership
-from foxtailreach.core.ranking import rank_candidates
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
-READER_ROLE = 'state-reader'
 # A reader counts as alive for this long after its last notice. Readers send one
 # with each read, about every 0.7 s.
 NOTICE_FRESH_US = 1200 * MILLISECOND_US
@@ -26,15 +25,24 @@
 class ReaderElection:
     """Decides whether this host should read now."""
 
-    __slots__ = ('_domain', '_last_failure_us', '_membership', 'last_heard_us')
+    __slots__ = (
+        '_coordinators',
+        '_domain',
+        '_last_failure_us',
+        '_membership',
+        'last_heard_us',
+    )
 
-    def __init__(self, membership: Membership, domain: str) -> None:
+    def __init__(
+        self, membership: Membership, coordinators: Coordinators, domain: str
+    ) -> None:
         """Create an election without notices from readers.
 
         A host that starts sets `last_heard_us` to the current time, so that it
         waits for the current reader before it reads the platform itself.
         """
         self._membership = membership
+        self._coordinators = coordinators
         self._domain = domain
         self._last_failure_us: dict[str, int] = {}
         self.last_heard_us = 0
@@ -59,21 +67,14 @@
         A host that recently failed to read the platform ranks last.
         """
         host_id = self._membership.host_id
-        hosts = [
-            candidate
-            for candidate in self._membership.usable_hosts(self._domain)
-            if candidate == host_id
-            or now_us - self._last_failure_us.get(candidate, 0)
-            > FAILED_READER_SKIP_US
-        ]
-        if host_id not in hosts:
-            hosts.append(host_id)
-        ranked = rank_candidates(hosts, READER_ROLE)
-        is_failing = (
-            now_us - self._last_failure_us.get(host_id, 0)
-            <= FAILED_READER_SKIP_US
-        )
-        return len(ranked) if is_failing else ranked.index(host_id)
+        order = self._coordinators.usable_order(self._domain)
+        failing = self._failing(now_us)
+        if host_id in failing:
+            return len(order) - len(failing.intersection(order)) + 1
+        if host_id not in order:
+            return len(order) - len(failing.intersection(order))
+        own = order.index(host_id)
+        return own - len(failing.intersection(order[:own]))
 
     def should_read(self, now_us: int) -> bool:
         """Tell whether this host should read the platform now."""
@@ -82,3 +83,10 @@
             return True
         silent_us = now_us - self.last_heard_us
         return silent_us > NOTICE_FRESH_US + rank * RANK_DELAY_US
+
+    def _failing(self, now_us: int) -> frozenset[str]:
+        return frozenset(
+            host_id
+            for host_id, failed_us in self._last_failure_us.items()
+            if now_us - failed_us <= FAILED_READER_SKIP_US
+        )
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -12,8 +12,8 @@
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
 from foxtailreach.core.units import SECOND_US
 
-# Evidence becomes stale fast, but each digest goes to every host.
-DIGEST_INTERVAL_US = 2 * SECOND_US
+# Evidence becomes stale fast.
+DIGEST_INTERVAL_US = SECOND_US
 BROKER_IDLE_US = 20 * SECOND_US
 
 
@@ -145,6 +145,15 @@
             case messages.TurnedAway():
                 entry.broker.record_turned_away(now_us)
 
+    def oldest_grants(self) -> dict[str, int]:
+        """Return the time of the oldest grant of each host with slots."""
+        oldest_us: dict[str, int] = {}
+        for entry in self._entries.values():
+            for host_id, granted_us in entry.broker.oldest_grants().items():
+                known_us = oldest_us.get(host_id, granted_us)
+                oldest_us[host_id] = min(known_us, granted_us)
+        return oldest_us
+
     def host_lost(self, host_id: str, now_us: int) -> Effects:
         """Release all slots that a lost host held."""
         new_effects: Effects = []
@@ -154,13 +163,13 @@
 
     def tick(
         self,
-        choose_recipients: Callable[[], Iterable[str]],
+        choose_recipients: Callable[[str], Iterable[str]],
         now_us: int,
     ) -> Effects:
         """Advance all brokers, drop idle ones, and send evidence digests.
 
-        Each active broker sends a digest to the recipients, every
-        `DIGEST_INTERVAL_US`.
+        Each active broker sends a digest to the recipients for its service,
+        every `DIGEST_INTERVAL_US`.
         """
         new_effects: Effects = []
         for service, entry in list(self._entries.items()):
@@ -172,7 +181,7 @@
                 digest = entry.broker.digest(now_us)
                 new_effects.extend(
                     messages.SendHost(host_id, digest)
-                    for host_id in choose_recipients()
+                    for host_id in choose_recipients(service)
                 )
         return new_effects
 
--- a/foxtailreach/core/membership.py
+++ b/foxtailreach/core/membership.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
+import itertools
 import random
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from foxtailreach.core import effects, messages
@@ -32,12 +33,15 @@
     """Interval of pings and times until a silent host is reported.
 
     A host is suspected after `suspect_after_us` without a ping or an ack from
-    it. It is reported as down `down_after_us` later.
+    it. It is reported as down `down_after_us` later. Hosts that are not watched
+    closely are pinged in every `ring_rounds`-th interval only, and the times
+    until they are reported are as many times longer.
     """
 
     interval_us: int = 250 * MILLISECOND_US
     suspect_after_us: int = 750 * MILLISECOND_US
     down_after_us: int = 500 * MILLISECOND_US
+    ring_rounds: int = 1
 
 
 DEFAULT_TIMING = HeartbeatTiming()
@@ -62,9 +66,13 @@
         '_log_freshness',
         '_log_offset',
         '_next_ping_us',
+        '_ring_order',
         '_rng',
+        '_round',
         '_sequence',
         '_timing',
+        '_watched',
+        '_watched_neighbours',
         'host_id',
         'hosts',
         'incarnation',
@@ -92,6 +100,10 @@
         self.version = 0
         self._log_freshness = log_freshness
         self._rng = rng
+        self._round = 0
+        self._ring_order: list[str] = []
+        self._watched: frozenset[str] = frozenset()
+        self._watched_neighbours: tuple[str, ...] = ()
         self._sequence = 0
         self._log_offset = 0
         self._next_ping_us = now_us
@@ -136,6 +148,12 @@
         self._log_freshness.record_host_list(has_peers=len(self.hosts) > 1)
         return changed
 
+    def watch_closely(self, hosts: frozenset[str]) -> None:
+        """Let these hosts watch each other, besides the ring of all hosts."""
+        if hosts != self._watched:
+            self._watched = hosts
+            self._watched_neighbours = self._next_on_ring(hosts)
+
     def announce(self) -> HostRumor:
         """Build the gossip update with this host's own liveness."""
         liveness = Liveness.LEAVING if self.is_leaving else Liveness.UP
@@ -225,10 +243,15 @@
         if now_us < self._next_ping_us:
             return []
         self._next_ping_us = now_us + self._timing.interval_us
+        self._round += 1
+        rounds_by_host = dict.fromkeys(self._watched_neighbours, 1)
+        if self._round % self._timing.ring_rounds == 0:
+            for neighbour in self.neighbours:
+                rounds_by_host.setdefault(neighbour, self._timing.ring_rounds)
         new_effects: Effects = []
-        for host_id in self.neighbours:
+        for host_id, rounds in rounds_by_host.items():
             new_effects.append(self._ping(host_id, now_us))
-            new_effects.extend(self._check_liveness(host_id, now_us))
+            new_effects.extend(self._check_liveness(host_id, rounds, now_us))
         return new_effects
 
     def _update_entry(
@@ -247,21 +270,32 @@
 
     def _update_ring(self) -> None:
         self.version += 1
-        ring = sorted(
-            (rendezvous_score(host_id, RING_SUBJECT), host_id)
-            for host_id in self.hosts
-        )
-        order = [host_id for _, host_id in ring]
-        if self.host_id not in order:
-            self.neighbours = ()
-            return
+        if len(self._ring_order) != len(self.hosts) or any(
+            host_id not in self.hosts for host_id in self._ring_order
+        ):
+            self._ring_order = sorted(
+                self.hosts,
+                key=lambda host_id: rendezvous_score(host_id, RING_SUBJECT),
+            )
+        self.neighbours = self._next_on_ring(self.hosts)
+        self._watched_neighbours = self._next_on_ring(self._watched)
+
+    def _next_on_ring(self, hosts: Container[str]) -> tuple[str, ...]:
+        """Return the hosts that follow this one, among `hosts`.
+
+        Empty if this host is not among them.
+        """
+        order = self._ring_order
+        if self.host_id not in hosts or self.host_id not in self.hosts:
+            return ()
         own = order.index(self.host_id)
-        following = [
-            host_id
-            for host_id in order[own + 1 :] + order[:own]
-            if self.hosts[host_id].entry.is_leaving is False
-        ]
-        self.neighbours = tuple(following[:NEIGHBOUR_COUNT])
+        following: list[str] = []
+        for host_id in itertools.chain(order[own + 1 :], order[:own]):
+            if len(following) == NEIGHBOUR_COUNT:
+                break
+            if host_id in hosts and not self.hosts[host_id].entry.is_leaving:
+                following.append(host_id)
+        return tuple(following)
 
     def _ping(
         self,
@@ -272,18 +306,21 @@
         ping = self.create_ping(now_us, on_behalf_of)
         return effects.SendPeer(host_id, ping)
 
-    def _check_liveness(self, host_id: str, now_us: int) -> Effects:
+    def _check_liveness(
+        self, host_id: str, rounds: int, now_us: int
+    ) -> Effects:
+        """Report a host that is pinged once in `rounds` intervals."""
         state = self.hosts[host_id]
         silent_us = now_us - state.last_heard_us
         if (
             state.liveness is Liveness.DOWN
-            or silent_us < self._timing.suspect_after_us
+            or silent_us < self._timing.suspect_after_us * rounds
         ):
             return []
         if not state.suspected_us:
             state.suspected_us = now_us
             return self._request_indirect_pings(host_id)
-        if now_us - state.suspected_us < self._timing.down_after_us:
+        if now_us - state.suspected_us < self._timing.down_after_us * rounds:
             return []
         if not self._log_freshness.is_connected(now_us):
             return []
--- a/foxtailreach/core/messages.py
+++ b/foxtailreach/core/messages.py
@@ -14,13 +14,17 @@
 
 @dataclass(slots=True, frozen=True)
 class HostEntry:
-    """One host in the platform's host list."""
+    """One host in the platform's host list.
+
+    `capacity` is its processor time in hundredths of a core; 0 if unknown.
+    """
 
     host_id: str
     domain: str
     address: str
     peer_port: int
     is_leaving: bool = False
+    capacity: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -85,7 +85,7 @@
             settings.limit_policy,
         )
         self._node = FleetNode.from_config(config, rng, boot_time_us())
-        self._peers = PeerEndpoint(self._receive)
+        self._peers = PeerEndpoint(self._receive, self._node.announcement)
         self._router = MessageRouter(self._node, self._peers.send)
         self._upstream = Upstream(options.header_names)
         self._metrics = GatewayMetrics()
--- a/foxtailreach/gateway/peers.py
+++ b/foxtailreach/gateway/peers.py
@@ -15,6 +15,8 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.mirror import StateMirror
 from foxtailreach.core.messages import HostEntry
+from foxtailreach.core.units import MILLISECOND_US
+from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.exceptions import ProtocolError
 from foxtailreach.rpc.fleet import FLEET_CODEC
 from foxtailreach.rpc.mapping import FrameBuffer
@@ -29,20 +31,31 @@
 # copies are cached.
 MAX_CACHED_COPIES = 8
 READ_BYTES = 65_536
+MAX_ASKED_ADDRESSES = 1000
 MAX_COPY_BYTES = 64 * 1024 * 1024
 
 _PULL_ERRORS = (TimeoutError, OSError, StreamClosedError, ProtocolError)
 
+# An unknown host is asked to announce itself once in this time.
+ASK_UNKNOWN_INTERVAL_US = 500 * MILLISECOND_US
+
 Receive = Callable[[str, messages.FleetMessage], None]
+Announce = Callable[[], messages.HostAnnounced]
 Versions = tuple[messages.TopicVersion, ...]
 
 
 class PeerEndpoint(asyncio.DatagramProtocol):
-    """Sends and receives datagrams; maps sender addresses to host ids."""
+    """Sends and receives datagrams; maps sender addresses to host ids.
+
+    A host that is not known is asked to announce itself, so that a host which
+    has just started need not announce itself to all others.
+    """
 
-    def __init__(self, receive: Receive) -> None:
+    def __init__(self, receive: Receive, announce: Announce) -> None:
         """Deliver messages from known hosts to `receive`."""
         self._receive = receive
+        self._announce = announce
+        self._asked_us: dict[tuple[str, int], int] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._addresses: dict[str, tuple[str, int]] = {}
         self._host_ids: dict[tuple[str, int], str] = {}
@@ -105,12 +118,32 @@
             logger.warning('malformed datagram from {}: {}', addr, error)
             return
         self.received += 1
-        if isinstance(message, messages.HostAnnounced):
-            self.add_host(message.entry)
+        match message:
+            case messages.HostAnnounced():
+                self.add_host(message.entry)
+            case messages.HostUnknown():
+                self.send_to(addr, self._announce())
+                return
+            case _:
+                ...
         host_id = self._host_ids.get(addr)
-        if host_id is not None:
+        if host_id is None:
+            self._ask_unknown(addr)
+        else:
             self._receive(host_id, message)
 
+    def _ask_unknown(self, address: tuple[str, int]) -> None:
+        """Ask the host at an address to announce itself, at a limited rate."""
+        now_us = boot_time_us()
+        asked_us = self._asked_us.get(address, -ASK_UNKNOWN_INTERVAL_US)
+        if now_us - asked_us < ASK_UNKNOWN_INTERVAL_US:
+            return
+        if len(self._asked_us) >= MAX_ASKED_ADDRESSES:
+            self._asked_us.clear()
+        self._asked_us[address] = now_us
+        own_id = self._announce().entry.host_id
+        self.send_to(address, messages.HostUnknown(own_id))
+
 
 class StateServer(TCPServer):
     """Sends compressed changes of this host's state to other hosts."""
--- a/foxtailreach/gateway/router.py
+++ b/foxtailreach/gateway/router.py
@@ -8,7 +8,8 @@
 
 from foxtailreach.core import effects
 from foxtailreach.core.dispatch import messages
-from foxtailreach.core.dispatch.fleet import Effects, FleetNode
+from foxtailreach.core.dispatch.fleet import FleetNode
+from foxtailreach.core.dispatch.host_messages import Effects
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.fleet_client import REPLY_TYPES, FleetClient
 
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -23,12 +23,14 @@
 
     `seeds` are addresses of some hosts of the fleet and may be outdated; only
     their IP addresses are used, with this host's own peer port.
+    `capacity` is the processor time of the host in hundredths of a core;
     `max_body_memory_bytes` bounds the memory for the bodies of all requests.
     """
 
     host_id: str
     domain: str
     address: str
+    capacity: int
     peer_port: int
     metrics_port: int
     callers: Address
@@ -48,4 +50,5 @@
             self.domain,
             self.address,
             self.peer_port,
+            capacity=self.capacity,
         )
--- a/foxtailreach/gateway/state_feed.py
+++ b/foxtailreach/gateway/state_feed.py
@@ -8,7 +8,8 @@
 from typing import Protocol
 
 from foxtailreach.core.dispatch import messages
-from foxtailreach.core.dispatch.fleet import Effects, FleetNode
+from foxtailreach.core.dispatch.fleet import FleetNode
+from foxtailreach.core.dispatch.host_messages import Effects
 from foxtailreach.core.dispatch.mirror import StateMirror
 from foxtailreach.gateway.peers import PeerEndpoint
 
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -2,7 +2,8 @@
 
 One host of each failure domain reads the store. It notifies the others by
 datagram, and they pull copies. The reader is elected in
-`foxtailreach.core.dispatch.reader_election`.
+`foxtailreach.core.dispatch.reader_election`. Hosts know each other through the
+store, where each registers; the readers pass that list on like the targets.
 """
 
 from __future__ import annotations
@@ -17,11 +18,10 @@
 
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import Deployment
-from foxtailreach.core.dispatch.fleet import Effects, FleetNode
+from foxtailreach.core.dispatch.fleet import FleetNode
+from foxtailreach.core.dispatch.host_messages import Effects
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.dispatch.mirror import TopicMirror
-from foxtailreach.core.dispatch.reader_election import READER_ROLE
-from foxtailreach.core.ranking import rank_candidates
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.exceptions import (
@@ -31,6 +31,7 @@
 from foxtailreach.gateway.peers import PeerEndpoint, pull_state
 from foxtailreach.gateway.settings import GatewaySettings
 from foxtailreach.platform import records
+from foxtailreach.platform.removals import HeldRemovals
 from foxtailreach.platform.store import StoreClient, TopicPage
 
 # A draining target must get no requests from 2 s after its record is in the
@@ -38,12 +39,11 @@
 # hosts within a few milliseconds.
 READ_INTERVAL_S = 0.7
 OPERATOR_POLL_WAIT_MS = 1500
-HOSTS_READ_INTERVAL_US = 6 * SECOND_US
+HOSTS_READ_INTERVAL_US = 2 * SECOND_US
+# All hosts may start at once, so the list is read with each read at first.
+STARTING_US = 6 * SECOND_US
 RETRY_INTERVAL_S = 0.5
-READER_CHECK_INTERVAL_S = 0.1
-# Removals are held back for this long after a store outage. Entries that
-# expired during the outage are renewed within 2 s.
-REMOVAL_HOLD_US = 2500 * MILLISECOND_US
+READER_CHECK_INTERVAL_S = 0.2
 # Registration takes two calls of 4 ms each; after this long, reading starts
 # without it.
 REGISTRATION_TIMEOUT_S = 0.6
@@ -75,7 +75,7 @@
         """
         self.mirror = records.create_mirror()
         self.last_read_us = 0
-        self.is_store_up = True
+        self._removals = HeldRemovals()
         self._settings = settings
         self._entry = settings.entry
         self._store = store
@@ -83,8 +83,7 @@
         self._peers = peers
         self._rng = rng
         self._on_effects = on_effects
-        self._held_removals: set[str] = set()
-        self._hold_until_us = 0
+        self._started_us = boot_time_us()
         self._last_hosts_read_us = 0
         self._is_pulling = False
         self._last_remote_pull_us = 0
@@ -127,6 +126,8 @@
         """
         now_us = boot_time_us()
         if self._is_in_own_domain(sender):
+            if message.is_reading:
+                self._node.record_told(message.cut_off, now_us)
             self._node.election.record_notice(
                 sender,
                 now_us,
@@ -144,7 +145,11 @@
             self._peers.send(host_id, self._notice(boot_time_us()))
 
     async def _register(self) -> None:
-        """Write this host to the store and announce it to the other hosts."""
+        """Write this host to the store, and announce it to a few hosts.
+
+        The coordinators of its domain send it notices of their state. Before,
+        while the store may not answer, the seeds may.
+        """
         topic = records.HOSTS_TOPIC
         for seed in self._settings.seeds:
             if seed.host != self._entry.address:
@@ -155,7 +160,7 @@
                 await self._store.append(
                     topic,
                     self._entry.host_id,
-                    records.encode_host(self._entry),
+                    records.encode_host(self._node.announcement()),
                 )
                 page = await self._store.read_newest(topic)
             except PlatformUnavailableError as error:
@@ -167,7 +172,7 @@
             self._apply_hosts()
             self._registered.set()
         for _ in range(ANNOUNCEMENT_ROUNDS):
-            for host_id in self._node.membership.others():
+            for host_id in self._node.coordinators_of_domain():
                 self._peers.send(host_id, self._node.announcement())
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
@@ -229,13 +234,16 @@
         topic = self.mirror.topics[records.TARGETS_TOPIC]
         is_changed = await self._read_topic(topic, 0)
         now_us = boot_time_us()
-        if now_us - self._last_hosts_read_us > HOSTS_READ_INTERVAL_US:
+        interval_us = HOSTS_READ_INTERVAL_US
+        if now_us - self._started_us < STARTING_US:
+            interval_us = 0
+        if now_us - self._last_hosts_read_us > interval_us:
             self._last_hosts_read_us = now_us
             hosts = self.mirror.topics[records.HOSTS_TOPIC]
             if await self._read_topic(hosts, 0):
                 self._apply_hosts()
         self._record_read(now_us)
-        is_changed = self._apply_held_removals(now_us) or is_changed
+        is_changed = topic.drop(self._removals.take_due(now_us)) or is_changed
         if is_changed:
             self._apply_state()
         self._notify_domain()
@@ -256,77 +264,24 @@
                 )
             else:
                 return topic.fold(
-                    self._hold_removals(topic, page),
-                    page.next_offset,
+                    self._held_records(topic, page), page.next_offset
                 )
         page = await self._store.read_newest(topic.name)
-        return topic.replace(
-            self._keep_missing_targets(topic, page),
-            page.next_offset,
-        )
+        listed = list(page.records)
+        if topic.name == records.TARGETS_TOPIC:
+            listed = self._removals.keep_missing(listed, topic, boot_time_us())
+        return topic.replace(listed, page.next_offset)
 
-    def _hold_removals(
-        self,
-        topic: TopicMirror,
-        page: TopicPage,
+    def _held_records(
+        self, topic: TopicMirror, page: TopicPage
     ) -> list[KeyedRecord]:
-        """Return the records of a page; hold back removals after an outage."""
         if topic.name != records.TARGETS_TOPIC:
             return list(page.records)
-        if not self._is_recovering(boot_time_us()):
-            return list(page.records)
-        kept: list[KeyedRecord] = []
-        for record in page.records:
-            if record.payload:
-                self._held_removals.discard(record.key)
-                kept.append(record)
-            else:
-                self._held_removals.add(record.key)
-        return kept
-
-    def _keep_missing_targets(
-        self,
-        topic: TopicMirror,
-        page: TopicPage,
-    ) -> list[KeyedRecord]:
-        """Return the records of a page, and known targets it lacks.
-
-        Missing targets are kept only during an outage and shortly after it.
-        """
-        listed = list(page.records)
-        if topic.name != records.TARGETS_TOPIC:
-            return listed
-        if not self._is_recovering(boot_time_us()):
-            return listed
-        names = {record.key for record in listed}
-        for key, record in topic.records.items():
-            if key not in names:
-                listed.append(record)
-                self._held_removals.add(key)
-        return listed
-
-    def _is_recovering(self, now_us: int) -> bool:
-        """Whether the store is unavailable, or was until shortly before."""
-        if not self.is_store_up:
-            return True
-        return now_us < self._hold_until_us
-
-    def _apply_held_removals(self, now_us: int) -> bool:
-        """Remove the targets that were not renewed after an outage."""
-        if not self._held_removals or now_us < self._hold_until_us:
-            return False
-        topic = self.mirror.topics[records.TARGETS_TOPIC]
-        gone = list(self._held_removals)
-        self._held_removals.clear()
-        logger.bind(targets=gone).info('targets gone after an outage')
-        return topic.drop(gone)
+        return self._removals.hold(page.records, boot_time_us())
 
     def _record_read(self, now_us: int) -> None:
         self.last_read_us = now_us
-        if not self.is_store_up:
-            self.is_store_up = True
-            self._hold_until_us = now_us + REMOVAL_HOLD_US
-            logger.info('store is back after an outage')
+        self._removals.record_read(now_us)
         self._node.election.record_notice(
             self._entry.host_id,
             now_us,
@@ -335,9 +290,7 @@
 
     def _record_failure(self, error: PlatformUnavailableError) -> None:
         now_us = boot_time_us()
-        if self.is_store_up:
-            self.is_store_up = False
-            logger.warning('store does not answer: {}', error)
+        self._removals.record_failure(error)
         self._node.election.record_notice(
             self._entry.host_id,
             now_us,
@@ -358,18 +311,10 @@
         if now_us - self._last_silence_pull_us < READER_SILENCE_US:
             return
         self._last_silence_pull_us = now_us
-        others = [
-            host_id
-            for host_id in self._node.membership.usable_hosts(
-                self._entry.domain,
-            )
-            if host_id != self._entry.host_id
-        ]
+        others = self._node.coordinators_of_domain()
         if others:
-            host_id = self._rng.choice(others)
-            for reader in rank_candidates(others, READER_ROLE)[:1]:
-                self._peers.send(reader, self._node.announcement())
-            await self._pull(host_id)
+            self._peers.send(others[0], self._node.announcement())
+            await self._pull(self._rng.choice(others))
 
     async def _pull_remote(self) -> None:
         """Pull from a host of another domain when this host cannot read."""
@@ -429,9 +374,10 @@
             _log_faults(deployment)
 
     def _apply_hosts(self) -> None:
-        entries = records.decode_hosts(self.mirror)
-        for entry in self._node.update_hosts(entries, boot_time_us()):
-            self._peers.add_host(entry)
+        registrations = records.decode_hosts(self.mirror)
+        for registration in registrations:
+            self._peers.add_host(registration.entry)
+        self._on_effects(self._node.update_hosts(registrations, boot_time_us()))
 
     def _notify_domain(self) -> None:
         notice = self._notice(boot_time_us())
@@ -443,7 +389,8 @@
         return messages.StateNotice(
             versions=self.mirror.versions(),
             age_us=self.age_us(now_us),
-            is_reading=self.is_store_up and bool(self.last_read_us),
+            is_reading=self._removals.is_store_up and bool(self.last_read_us),
+            cut_off=tuple(sorted(self._node.cut_off_domains(now_us))),
         )
 
     def _is_in_own_domain(self, host_id: str) -> bool:
--- a/foxtailreach/platform/records.py
+++ b/foxtailreach/platform/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import lru_cache
 from typing import Any
 
@@ -15,7 +15,7 @@
     RouteSpec,
     TargetSpec,
 )
-from foxtailreach.core.dispatch.messages import KeyedRecord
+from foxtailreach.core.dispatch.messages import HostAnnounced, KeyedRecord
 from foxtailreach.core.dispatch.mirror import (
     Change,
     StateMirror,
@@ -32,6 +32,8 @@
 HOSTS_TOPIC = 'keyed.hosts'
 CONFIGURATION_KEY = 'config'
 EVACUATION_PREFIX = 'evacuate/'
+# Decoded entries of hosts and targets that are kept.
+MAX_CACHED_ENTRIES = 4096
 _DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 # Weight of a customer's priority, which takes precedence over the route's.
 CUSTOMER_PRIORITY_WEIGHT = 1000
@@ -73,47 +75,45 @@
     return targets
 
 
-def decode_hosts(mirror: StateMirror) -> list[HostEntry]:
+def decode_hosts(mirror: StateMirror) -> list[HostAnnounced]:
     """Return the registered hosts; skip malformed registrations."""
     hosts = []
     for record in mirror.topics[HOSTS_TOPIC].records.values():
-        entry = _decode_host(record.payload)
-        if entry is not None:
-            hosts.append(entry)
+        registration = _decode_host(record.payload)
+        if registration is not None:
+            hosts.append(registration)
     return hosts
 
 
-def encode_host(entry: HostEntry) -> bytes:
+def encode_host(registration: HostAnnounced) -> bytes:
     """Encode the registration of a host."""
+    entry = registration.entry
     return json.dumps(
         {
             'host_id': entry.host_id,
             'domain': entry.domain,
             'address': entry.address,
             'peer_port': entry.peer_port,
+            'capacity': entry.capacity,
+            'incarnation': registration.incarnation,
         },
     ).encode()
 
 
 def decode_target(record: KeyedRecord) -> TargetSpec | None:
     """Decode a target's entry; None if it is malformed."""
-    try:
-        return _decode_target(record.key, json.loads(record.payload))
-    except _DECODE_ERRORS as error:
-        logger.debug('malformed entry of target {}: {!r}', record.key, error)
-        return None
+    return _decode_entry(record.key, record.payload).target
 
 
 def classify_target(known: KeyedRecord | None, newer: KeyedRecord) -> Change:
     """Return whether a record is a heartbeat, a change or outdated."""
-    new_order = _heartbeat_order(newer)
-    if known is None or new_order is None:
+    new_entry = _decode_entry(newer.key, newer.payload)
+    if known is None or new_entry.order is None:
         return Change.MATERIAL
-    old_order = _heartbeat_order(known)
-    if old_order is not None and new_order < old_order:
+    old_entry = _decode_entry(known.key, known.payload)
+    if old_entry.order is not None and new_entry.order < old_entry.order:
         return Change.STALE
-    new_spec = decode_target(newer)
-    old_spec = decode_target(known)
+    new_spec, old_spec = new_entry.target, old_entry.target
     if new_spec is None or old_spec is None:
         return Change.MATERIAL
     if _with_warm_up_of(new_spec, old_spec) != old_spec:
@@ -152,31 +152,49 @@
     return Change.MATERIAL
 
 
-def _decode_host(payload: bytes) -> HostEntry | None:
+@lru_cache(maxsize=MAX_CACHED_ENTRIES)
+def _decode_host(payload: bytes) -> HostAnnounced | None:
     try:
         fields = json.loads(payload)
-        return HostEntry(
+        entry = HostEntry(
             host_id=_string(fields, 'host_id'),
             domain=_string(fields, 'domain'),
             address=_string(fields, 'address'),
             peer_port=_unsigned_integer(fields, 'peer_port'),
+            capacity=_unsigned_integer(fields, 'capacity'),
         )
+        return HostAnnounced(entry, _unsigned_integer(fields, 'incarnation'))
     except _DECODE_ERRORS as error:
         logger.warning('malformed host registration: {!r}', error)
         return None
 
 
-def _heartbeat_order(record: KeyedRecord) -> tuple[int, int] | None:
-    """Return process start and heartbeat counter, which order entries.
+@dataclass(slots=True, frozen=True)
+class _TargetEntry:
+    """The decoded entry of a target; None for what is malformed.
 
-    None if the entry is malformed.
+    `order` is process start and heartbeat counter, which order entries.
     """
+
+    target: TargetSpec | None
+    order: tuple[int, int] | None
+
+
+@lru_cache(maxsize=MAX_CACHED_ENTRIES)
+def _decode_entry(target_id: str, payload: bytes) -> _TargetEntry:
+    """Decode an entry once, as a change of any other decodes all of them."""
+    target: TargetSpec | None = None
+    order: tuple[int, int] | None = None
     try:
-        fields = json.loads(record.payload)
-        return _started_ms(fields), _unsigned_integer(fields, 'sequence')
-    except _DECODE_ERRORS:
-        # Malformed entries are logged where they are decoded.
-        return None
+        fields = json.loads(payload)
+        order = _started_ms(fields), _unsigned_integer(fields, 'sequence')
+    except _DECODE_ERRORS as error:
+        logger.debug('target {} has no order: {!r}', target_id, error)
+    try:
+        target = _decode_target(target_id, json.loads(payload))
+    except _DECODE_ERRORS as error:
+        logger.debug('malformed entry of target {}: {!r}', target_id, error)
+    return _TargetEntry(target, order)
 
 
 def _decode_target(target_id: str, fields: Any) -> TargetSpec:
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -21,6 +21,7 @@
 DEFAULT_MEMORY_MB = 200
 # The process itself takes 40 MB of 200; answers in flight share the rest.
 BODY_MEMORY_SHARE = 0.4
+CAPACITY_PER_CORE = 100
 BYTES_PER_MB = 1024 * 1024
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError)
 
@@ -62,10 +63,12 @@
     listen = table['listen']
     bounds = _bounds(table.get('bounds', ()))
     ports = table['internal_ports']
+    limits = table.get('limits', {})
     return GatewaySettings(
         host_id=table['node_name'],
         domain=table['zone'],
         address=table['ip'],
+        capacity=_capacity(limits),
         peer_port=ports[0],
         metrics_port=ports[1],
         callers=parse_address(listen['frontend']),
@@ -74,7 +77,7 @@
         seeds=tuple(map(parse_address, table.get('seeds', ()))),
         stop_grace_us=int(bounds.get('grace_s', 6) * SECOND_US),
         max_body_memory_bytes=int(
-            table.get('limits', {}).get('memory_mb', DEFAULT_MEMORY_MB)
+            limits.get('memory_mb', DEFAULT_MEMORY_MB)
             * BODY_MEMORY_SHARE
             * BYTES_PER_MB
         ),
@@ -101,6 +104,15 @@
     return Address(host, int(port))
 
 
+def _capacity(limits: Mapping[str, Any]) -> int:
+    """Return the processor time of a host in hundredths of a core.
+
+    `cpu_share` is its share of one core, which is `cores` times as fast.
+    """
+    share = float(limits.get('cpu_share', 1))
+    return round(share * float(limits.get('cores', 1)) * CAPACITY_PER_CORE)
+
+
 def _bounds(texts: Any) -> dict[str, float]:
     """Parse texts of the form `name=number`; skip true and false."""
     bounds: dict[str, float] = {}
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -3,7 +3,7 @@
 
 struct HostEntry {
   1: string host_id, 2: string domain, 3: string address,
-  4: i32 peer_port, 5: bool is_leaving
+  4: i32 peer_port, 5: bool is_leaving, 6: i32 capacity
 }
 
 struct Ping {
@@ -70,10 +70,13 @@
 
 struct HostAnnounced { 1: HostEntry entry, 2: i64 incarnation }
 
+struct HostUnknown { 1: string host_id }
+
 struct TopicVersion { 1: string topic, 2: i64 offset }
 
 struct StateNotice {
-  1: list<TopicVersion> versions, 2: i64 age_us, 3: bool is_reading
+  1: list<TopicVersion> versions, 2: i64 age_us, 3: bool is_reading,
+  4: list<string> cut_off
 }
 
 struct StatePull { 1: list<TopicVersion> versions }
@@ -101,5 +104,5 @@
   15: optional StateNotice state_notice, 16: optional StatePull state_pull,
   17: optional StateCopy state_copy, 18: optional TurnedAway turned_away,
   20: optional ChargeCancel charge_cancel,
-  21: optional MeterCopy meter_copy
+  21: optional MeterCopy meter_copy, 22: optional HostUnknown host_unknown
 }
--- a/foxtailreach/rpc/peer.thrift
+++ b/foxtailreach/rpc/peer.thrift
@@ -5,7 +5,7 @@
 
 struct HostEntry {
   1: string host_id, 2: string domain, 3: string address,
-  4: i32 peer_port, 5: bool is_leaving
+  4: i32 peer_port, 5: bool is_leaving, 6: i32 capacity
 }
 
 struct RequestHead {
