--- a/foxtailreach/daemon/telemetry.py
+++ b/foxtailreach/daemon/telemetry.py
@@ -22,7 +22,8 @@
 from foxtailreach.config.settings import LogSection
 from foxtailreach.core.effects import FinishRequest
 from foxtailreach.core.verdict import Refusal
-from foxtailreach.daemon.latencies import LatencyCollector
+from foxtailreach.daemon.latencies import LatencyHistograms
+from foxtailreach.daemon.latency_collector import LatencyCollector
 
 
 def configure_logging(section: LogSection) -> None:
@@ -74,8 +75,8 @@
     def __init__(self) -> None:
         """Register the metrics in a separate registry."""
         self.registry = CollectorRegistry()
-        self.latencies = LatencyCollector()
-        self.registry.register(self.latencies)
+        self.latencies = LatencyHistograms()
+        self.registry.register(LatencyCollector(self.latencies))
         self.answered = Counter(
             'foxtailreach_answered',
             'Requests answered by a target.',
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -248,11 +248,9 @@
             'log_lines_dropped': self._log_writer.dropped,
             'log_lines_left_out': self._routine_lines.left_out,
         }
-        for name, count in gauges.items():
-            self._metrics.gauge.labels(name).set(count)
         for service, count in self._node.queue_lengths().items():
-            self._metrics.gauge.labels(f'waiting_{service}').set(count)
-        _answer(request, HTTPStatus.OK, self._metrics.render())
+            gauges[f'waiting_{service}'] = count
+        _answer(request, HTTPStatus.OK, self._metrics.render(gauges))
 
     def _config_version(self) -> int:
         deployment = self._node.deployment
--- a/foxtailreach/gateway/metrics.py
+++ b/foxtailreach/gateway/metrics.py
@@ -1,46 +1,32 @@
-"""Prometheus metrics of one gateway host."""
+"""Metrics of one gateway host."""
 
 from __future__ import annotations
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    generate_latest,
-)
+import importlib
+from collections import Counter
+from collections.abc import Mapping
 
 from foxtailreach.core.verdict import Verdict
-from foxtailreach.daemon.latencies import LatencyCollector
+from foxtailreach.daemon.latencies import LatencyHistograms
 from foxtailreach.gateway.http_types import CallerAnswer, RequestTrace
 
+EXPORT_MODULE = 'foxtailreach.gateway.metrics_page'
+
 
 class GatewayMetrics:
-    """Metrics in a separate registry."""
+    """Counts answered requests and attempts.
+
+    `requests` counts by verdict, status and reason, `sends` by service and
+    outcome.
+    """
+
+    __slots__ = ('latencies', 'requests', 'sends')
 
     def __init__(self) -> None:
-        """Register all metrics."""
-        registry = CollectorRegistry()
-        self._registry = registry
-        self._latencies = LatencyCollector()
-        registry.register(self._latencies)
-        self._requests = Counter(
-            'foxtailreach_requests',
-            'Answered requests by verdict, status and reason.',
-            ('verdict', 'status', 'reason'),
-            registry=registry,
-        )
-        self._sends = Counter(
-            'foxtailreach_sends',
-            'Requests sent to targets by service and outcome.',
-            ('service', 'outcome'),
-            registry=registry,
-        )
-        self.gauge = Gauge(
-            'foxtailreach_state',
-            'Ages in microseconds, counts and queue lengths of this host.',
-            ('name',),
-            registry=registry,
-        )
+        """Start with no counts."""
+        self.latencies = LatencyHistograms()
+        self.requests: Counter[tuple[str, str, str]] = Counter()
+        self.sends: Counter[tuple[str, str]] = Counter()
 
     def record(
         self,
@@ -53,12 +39,18 @@
         `latency_us` is recorded for requests that a target ran.
         """
         reason = '' if answer.reason is None else answer.reason.value
-        self._requests.labels(answer.verdict, answer.status, reason).inc()
+        self.requests[answer.verdict.value, str(answer.status), reason] += 1
         for attempt in trace.attempts:
-            self._sends.labels(trace.service, attempt.outcome).inc()
+            self.sends[trace.service, attempt.outcome.value] += 1
         if answer.verdict is Verdict.RAN:
-            self._latencies.record(trace.service, trace.customer, latency_us)
+            self.latencies.record(trace.service, trace.customer, latency_us)
 
-    def render(self) -> bytes:
-        """Return the metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
+    def render(self, gauges: Mapping[str, float]) -> bytes:
+        """Return the metrics in the Prometheus text format.
+
+        The library for it is loaded at the first scrape, so that a host starts
+        faster.
+        """
+        page = importlib.import_module(EXPORT_MODULE)
+        rendered: bytes = page.render(self, gauges)
+        return rendered
