--- a/foxtailreach/core/dispatch/budgets.py
+++ b/foxtailreach/core/dispatch/budgets.py
@@ -65,10 +65,11 @@
         self._level = min(self.burst, self._level + earned)
 
 
-# Longest time from a grant until its request reaches a target. The budget holds
-# by the times of arrival, so first sends count for less than the window, and
-# retries for longer.
+# The budget holds by the times at which targets receive requests. A retry may
+# arrive this long after its grant, so it counts for longer than the window; a
+# first send is reported up to this long after its arrival and counts for less.
 SEND_DELAY_US = 300 * MILLISECOND_US
+REPORT_DELAY_US = SECOND_US
 # Share of the budget that probes leave to requests whose target failed.
 RETRY_RESERVE_SHARE = 0.3
 
@@ -135,7 +136,7 @@
 
     def _expire(self, now_us: int) -> None:
         start_us = now_us - self._policy.window_us
-        _drop_until(self._first_sends, start_us + SEND_DELAY_US)
+        _drop_until(self._first_sends, start_us + REPORT_DELAY_US)
         _drop_until(self._retries, start_us - SEND_DELAY_US)
 
 
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -46,24 +46,31 @@
 ISOLATED_AFTER_US = 1200 * MILLISECOND_US
 # A host that did not answer in time is skipped for this long.
 SUSPECTED_FOR_US = 1500 * MILLISECOND_US
+# When the whole fleet starts, no host has requests before it knows the others.
+FIRST_REQUESTS_AFTER_US = 500 * MILLISECOND_US
 # Hosts that are asked in turn.
 MIN_RANKED_HOSTS = 2
 
 
 @dataclass(slots=True, frozen=True)
 class FleetConfig:
-    """Identity of a host, and the fleet-wide retry and rate limits."""
+    """Identity of a host, and the fleet-wide retry and rate limits.
+
+    `is_first_start` tells that the whole fleet starts for the first time.
+    """
 
     entry: core_messages.HostEntry
     incarnation: int
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
+    is_first_start: bool = False
 
 
 class FleetNode:
     """Membership, brokers and meters of one host."""
 
     __slots__ = (
+        '_brokered_since_us',
         '_brokers',
         '_config',
         '_coordinators',
@@ -126,6 +133,10 @@
         self._metering = Metering(
             self.membership, self._reach, config.limit_policy
         )
+        # No host has brokered before; 0 if that is not known.
+        self._brokered_since_us = 0
+        if config.is_first_start:
+            self._brokered_since_us = now_us + FIRST_REQUESTS_AFTER_US
         self._suspected: dict[str, int] = {}
         self._last_heard_us = now_us
 
@@ -324,7 +335,9 @@
     def _is_settled(self, service: str, now_us: int) -> bool:
         self._reach.update(now_us)
         subject = _service_subject(service)
-        return self._reach.history.was_first(subject, now_us)
+        return self._reach.history.was_first(
+            subject, self._brokered_since_us, now_us
+        )
 
     def _find_customer(self, name: str) -> CustomerSpec | None:
         if self.deployment is None:
--- a/foxtailreach/core/dispatch/host_history.py
+++ b/foxtailreach/core/dispatch/host_history.py
@@ -126,9 +126,12 @@
             if not ranked.holds_meter(self._host_id, subject)
         )
 
-    def was_first(self, subject: str, now_us: int) -> bool:
-        """Tell whether this host ranked first during the whole window."""
-        start_us = now_us - self._window_us
+    def was_first(self, subject: str, since_us: int, now_us: int) -> bool:
+        """Tell whether this host ranked first during the whole window.
+
+        What was before `since_us` does not matter.
+        """
+        start_us = max(since_us, now_us - self._window_us)
         return all(
             ranked.top(subject)[:1] == (self._host_id,)
             for ranked, period in self._periods(now_us)
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -83,6 +83,7 @@
             wall_ms(),
             settings.retry_policy,
             settings.limit_policy,
+            settings.is_first_start,
         )
         self._node = FleetNode.from_config(config, rng, boot_time_us())
         self._peers = PeerEndpoint(self._receive, self._node.announcement)
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -23,6 +23,7 @@
 
     `seeds` are addresses of some hosts of the fleet and may be outdated; only
     their IP addresses are used, with this host's own peer port.
+    `is_first_start` tells that the whole fleet starts for the first time.
     `capacity` is the processor time of the host in hundredths of a core;
     `max_body_memory_bytes` bounds the memory for the bodies of all requests.
     """
@@ -32,6 +33,7 @@
     address: str
     capacity: int
     peer_port: int
+    is_first_start: bool
     metrics_port: int
     callers: Address
     readiness: Address
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -72,6 +72,7 @@
         address=table['ip'],
         capacity=_capacity(limits),
         peer_port=ports[0],
+        is_first_start=table.get('first_start') is True,
         metrics_port=ports[1],
         callers=parse_address(listen['frontend']),
         readiness=parse_address(listen['readiness']),
--- a/foxtailreach/tests/dispatch/fleet_retry_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_retry_tests.py
@@ -36,7 +36,7 @@
         await replay.kill(brokers[0], 1.2)
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('seed', [1, 2, 3, 4, 5])
 @pytest.mark.parametrize(
     'script',
     [None, kill_brokers],
--- a/foxtailreach/tests/platform/end_to_end_tests.py
+++ b/foxtailreach/tests/platform/end_to_end_tests.py
@@ -74,6 +74,7 @@
 zone = "{zone}"
 internal_ports = [{port}, {port + 1}]
 seeds = []
+first_start = true
 bounds = ["grace_s=6", "retry_budget_ratio=0.2", "revoke_strict=false"]
 unknown_field = 1
 [listen]
--- a/foxtailreach/tests/platform/feed_tests.py
+++ b/foxtailreach/tests/platform/feed_tests.py
@@ -30,6 +30,7 @@
         address='127.0.0.1',
         capacity=86,
         peer_port=port,
+        is_first_start=False,
         metrics_port=0,
         callers=unused_address,
         readiness=unused_address,
