--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -74,6 +74,7 @@
     """A connection to a target, used by one request at a time."""
 
     __slots__ = (
+        '_exchanges',
         '_reading',
         '_received_bytes',
         'idle_limit_us',
@@ -88,6 +89,7 @@
         self.idle_since_us = 0
         self.idle_limit_us = DEFAULT_IDLE_LIMIT_US
         self.must_close = False
+        self._exchanges = 0
         self._reading: asyncio.Future[bytes] | None = None
         self._received_bytes = 0
 
@@ -126,18 +128,23 @@
     ) -> tuple[h11.Response, bytes]:
         """Send one request and read its answer.
 
-        Answers that echo the id of another request are skipped. Raises
+        Answers that echo the id of another request are skipped, and so are
+        those that echo none if they may belong to another one. Raises
         _ConnectionLostError if no complete answer arrives within
         `MAX_ANSWER_BYTES`.
         """
         self._received_bytes = 0
+        is_first = not self._exchanges
+        self._exchanges += 1
         parser, payload = _serialize(request, body)
         written = self.stream.write(payload)
         written.add_done_callback(_ignore_result)
         for _ in range(MAX_STALE_ANSWERS):
             response, answer_body = await self._read_answer(parser)
             echoed = find_header(list(response.headers), id_header)
-            if not echoed or echoed == request_id:
+            # Before it reads a request, a target may refuse it without an id.
+            is_refusal = is_first and response.status_code not in _SUCCESS
+            if echoed == request_id or (is_refusal and not echoed):
                 self._check_reuse(parser, response)
                 return response, answer_body
             trailing, is_closed = parser.trailing_data
--- a/foxtailreach/tests/gateway/upstream_tests.py
+++ b/foxtailreach/tests/gateway/upstream_tests.py
@@ -29,6 +29,10 @@
     b'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signed: s\r\ncontent-length: 2\r\n\r\nhi'
 )
 STALE = OK.replace(b'r1', b'r0').replace(b'hi', b'no')
+NAMELESS = OK.replace(b'x-id: r1\r\n', b'').replace(b'hi', b'no')
+NAMELESS_REFUSAL = (
+    b'HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n'
+)
 UNFRAMED = b'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signed: s\r\n\r\nhi'
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -135,6 +139,21 @@
         SendOutcome.SERVED,
         False,
     ),
+    'success that names no request': (
+        reply_with(NAMELESS, ends='closes'),
+        SendOutcome.LOST,
+        False,
+    ),
+    'success that names no request first': (
+        reply_with(NAMELESS + OK),
+        SendOutcome.SERVED,
+        False,
+    ),
+    'refusal that names no request': (
+        reply_with(NAMELESS_REFUSAL),
+        SendOutcome.SHED,
+        True,
+    ),
     'only answers to other requests': (
         reply_with(STALE, ends='closes'),
         SendOutcome.LOST,
@@ -302,3 +321,31 @@
             await asyncio.wait_for(ended.wait(), 0.5)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('late', [NAMELESS, NAMELESS_REFUSAL])
+def test_late_copy_without_an_id_is_not_the_next_answer(late: bytes) -> None:
+    """A refusal that names no request would say of the next: not run."""
+
+    async def late_copy(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(OK)
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(late)
+        await asyncio.sleep(0.01)
+        writer.write(OK.replace(b'r1', b'r2').replace(b'hi', b'me'))
+        await reader.read()
+
+    async def scenario() -> TargetAnswer:
+        async with target(late_copy) as (grant, _):
+            upstream = Upstream(HEADER_NAMES)
+            await send(upstream, grant, request('r1'))
+            answer = await send(upstream, grant, request('r2'))
+            upstream.close()
+            return answer
+
+    answer = asyncio.run(scenario())
+    assert answer.is_reused
+    assert (answer.outcome, answer.body) == (SendOutcome.SERVED, b'me')
