--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -51,6 +51,8 @@
 # process is killed.
 STOP_MARGIN_US = 700 * MILLISECOND_US
 STOP_POLL_INTERVAL_S = 0.05
+# Requests that still wait for a slot this long before the end are refused.
+REFUSE_BEFORE_END_US = 800 * MILLISECOND_US
 LISTEN_BACKLOG = 512
 # Idle connections stay open this long after listening stops, for callers that
 # send another request before they see the close.
@@ -92,7 +94,7 @@
         self._metrics = GatewayMetrics()
         self._routine_lines = logs.RoutineLineLimiter()
         self._log_writer = logs.configure(settings.host_id)
-        proxy = Proxy(
+        self._proxy = Proxy(
             self._node,
             self._router.client,
             self._upstream,
@@ -103,7 +105,7 @@
         self._bodies = BodyBudget(settings.max_body_memory_bytes)
         self._frontend = Frontend(
             ReaderOptions(options.header_names, self._limits, self._bodies),
-            proxy.handle,
+            self._proxy.handle,
         )
         self._feed = options.create_feed(
             FeedDependencies(
@@ -179,6 +181,8 @@
         self._frontend.stop()
         await asyncio.sleep(IDLE_CLOSE_DELAY_S)
         while boot_time_us() < deadline_us:
+            if boot_time_us() > deadline_us - REFUSE_BEFORE_END_US:
+                self._proxy.refuse_waiting()
             self._frontend.close_idle()
             if not self._frontend.connections:
                 return
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -50,6 +50,8 @@
 # A request that waited longer for its slot is charged again at the time of
 # sending; see `SEND_DELAY_US` of the meters.
 RENEW_CHARGE_AFTER_US = 120 * MILLISECOND_US
+# Another host can serve the request at once.
+STOPPING_RETRY_US = 50 * MILLISECOND_US
 METER_RETRY_AFTER_US = 300 * MILLISECOND_US
 _FINGERPRINT_BITS = 63
 _MAY_HAVE_RUN = frozenset(
@@ -109,10 +111,12 @@
     __slots__ = (
         '_fleet_client',
         '_get_priority',
+        '_is_refusing',
         '_node',
         '_record_request',
         '_rng',
         '_upstream',
+        '_waiting',
     )
 
     def __init__(
@@ -131,6 +135,20 @@
         self._get_priority = priority
         self._record_request = record
         self._rng = rng
+        self._is_refusing = False
+        self._waiting: set[asyncio.Task[GrantedSlot | messages.SlotRefused]]
+        self._waiting = set()
+
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that wait for a slot, now and from now on.
+
+        Load pattern: a host stops while targets are busy. Its callers can
+        still be served by other hosts, if they learn in time that the request
+        has not run.
+        """
+        self._is_refusing = True
+        for task in self._waiting:
+            task.cancel()
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer one request and record what happened to it."""
@@ -293,10 +311,12 @@
             requested_us = boot_time_us()
             if requested_us >= context.deadline_us:
                 return _deadline_answer(context)
-            slot = await self._fleet_client.acquire(
-                self._slot_request(context, requested_us),
-                context.deadline_us,
-            )
+            slot = await self._acquire(context, requested_us)
+            if slot is None:
+                return _failure_answer(
+                    context,
+                    _unavailable_answer(Reason.STOPPING, STOPPING_RETRY_US),
+                )
             if isinstance(slot, messages.SlotRefused):
                 return _refused_answer(context, slot)
             refused = await self._confirm_charge(context, slot)
@@ -310,6 +330,28 @@
             if not self._may_retry(context, answer):
                 return _final_answer(context, answer)
 
+    async def _acquire(
+        self, context: RequestContext, requested_us: int
+    ) -> GrantedSlot | messages.SlotRefused | None:
+        """Return a slot or its refusal; None if this host stops meanwhile."""
+        if self._is_refusing:
+            return None
+        task = asyncio.ensure_future(
+            self._fleet_client.acquire(
+                self._slot_request(context, requested_us), context.deadline_us
+            ),
+        )
+        self._waiting.add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if self._is_refusing and task.cancelled():
+                return None
+            task.cancel()
+            raise
+        finally:
+            self._waiting.discard(task)
+
     async def _attempt(
         self,
         context: RequestContext,
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -142,9 +142,9 @@
         for _ in range(MAX_STALE_ANSWERS):
             response, answer_body = await self._read_answer(parser)
             echoed = find_header(list(response.headers), id_header)
-            # Before it reads a request, a target may refuse it without an id.
-            is_refusal = is_first and response.status_code not in _SUCCESS
-            if echoed == request_id or (is_refusal and not echoed):
+            if echoed == request_id or (
+                not echoed and _may_lack_id(response, is_first=is_first)
+            ):
                 self._check_reuse(parser, response)
                 return response, answer_body
             trailing, is_closed = parser.trailing_data
@@ -480,6 +480,15 @@
     return TargetConnection(stream)
 
 
+def _may_lack_id(response: h11.Response, *, is_first: bool) -> bool:
+    """Tell whether an answer without an id can be that of the request.
+
+    A target may refuse a request before it reads the id. On a reused
+    connection it may as well be a late copy of another answer.
+    """
+    return is_first and response.status_code not in _SUCCESS
+
+
 def _serialize(
     request: h11.Request,
     body: bytes,
--- a/foxtailreach/tests/gateway/proxy_tests.py
+++ b/foxtailreach/tests/gateway/proxy_tests.py
@@ -89,6 +89,25 @@
         return TargetAnswer(outcome, status=status)
 
 
+class SlowFleet(ScriptedFleet):
+    """Lets each target take a moment."""
+
+    async def send(
+        self,
+        request: CallerRequest,
+        grant: messages.SlotGrant,
+        customer: str,
+        deadline_us: int,
+        *,
+        is_repeatable: bool,
+    ) -> TargetAnswer:
+        """Return the next outcome after a pause."""
+        await asyncio.sleep(0.1)
+        return await super().send(
+            request, grant, customer, deadline_us, is_repeatable=is_repeatable
+        )
+
+
 class SilentMeter(ScriptedFleet):
     """Admits a request, but does not answer when its charge is renewed."""
 
@@ -253,3 +272,55 @@
         return fleet.reported
 
     assert asyncio.run(main()) == [SendOutcome.ABANDONED]
+
+
+class BusyFleet(ScriptedFleet):
+    """Grants no slot, so that requests wait."""
+
+    async def acquire(
+        self,
+        draft: messages.SlotRequest,
+        deadline_us: int,
+    ) -> GrantedSlot | messages.SlotRefused:
+        """Wait without end."""
+        return await asyncio.Future()
+
+
+@pytest.mark.parametrize('is_running', [False, True])
+def test_stopping_host_refuses_what_waits_and_keeps_what_runs(
+    is_running: bool,
+) -> None:
+    """A waiting request was closed without an answer when the host ended."""
+    deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
+
+    async def main() -> CallerAnswer:
+        fleet: ScriptedFleet = BusyFleet([])
+        if is_running:
+            fleet = SlowFleet([SendOutcome.SERVED])
+        proxy = create_proxy(fleet, deployment)
+        task = asyncio.ensure_future(proxy.handle(caller_request()))
+        await asyncio.sleep(0.02)
+        proxy.refuse_waiting()
+        return await asyncio.wait_for(task, 1)
+
+    answer = asyncio.run(main())
+    expected = Verdict.RAN if is_running else Verdict.NOT_RUN
+    assert answer.verdict is expected
+    if not is_running:
+        assert answer.reason is Reason.STOPPING
+        assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+
+
+def test_caller_that_leaves_withdraws_its_waiting_request() -> None:
+    deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
+
+    async def main() -> int:
+        proxy = create_proxy(BusyFleet([]), deployment)
+        task = asyncio.ensure_future(proxy.handle(caller_request()))
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0)
+        return len(asyncio.all_tasks()) - 1
+
+    assert not asyncio.run(main())
