--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -62,6 +62,19 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class Standing:
+    """How a broker's host stands among the brokers of its service.
+
+    `is_sole`: it ranks first and is in contact with others, so that none of
+    them brokers. `is_settled`: none can have brokered in the window of the
+    retry budget.
+    """
+
+    is_sole: bool
+    is_settled: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Lease:
     """A granted slot.
@@ -113,14 +126,10 @@
         self._ended_us: dict[Holder, int] = {}
         self._crashes = CrashTracker(CRASHES_TO_QUARANTINE, CRASH_WINDOW_US)
 
-    def set_standing(self, *, is_isolated: bool, is_settled: bool) -> None:
-        """Set how this host stands among the brokers of the service.
-
-        `is_isolated`: it has lost contact with all other hosts. `is_settled`:
-        no other host can have brokered in the window of the retry budget.
-        """
-        self._placement.is_isolated = is_isolated
-        self._retry_budget.has_slack = is_settled
+    def set_standing(self, standing: Standing) -> None:
+        """Set how this host stands among the brokers of the service."""
+        self._placement.is_sole = standing.is_sole
+        self._retry_budget.has_slack = standing.is_settled
 
     @property
     def queue_length(self) -> int:
@@ -183,7 +192,9 @@
                     QUARANTINE_RETRY_AFTER_US,
                 ),
             ]
-        if request.is_repeat and not self._retry_budget.allows_retry(now_us):
+        if request.is_repeat and not self._retry_budget.allows_retry(
+            now_us, self._queue.count_retries()
+        ):
             cause = RefusalCause.REPEAT_BUDGET
             return [
                 self._refuse(host_id, request, cause, self._service_time_us()),
--- a/foxtailreach/core/dispatch/budgets.py
+++ b/foxtailreach/core/dispatch/budgets.py
@@ -120,9 +120,12 @@
         """Count a retry."""
         self._retries.append(now_us)
 
-    def allows_retry(self, now_us: int) -> bool:
-        """Tell whether the budget allows one more retry."""
-        return len(self._retries) + 1 <= self._allowed(now_us)
+    def allows_retry(self, now_us: int, waiting: int = 0) -> bool:
+        """Tell whether the budget allows one more retry.
+
+        `waiting` retries were allowed before and have no slot yet.
+        """
+        return len(self._retries) + waiting + 1 <= self._allowed(now_us)
 
     def allows_probes(self, now_us: int) -> bool:
         """Tell whether the budget beyond the reserve allows one more retry."""
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -12,6 +12,7 @@
 
 from foxtailreach.core import messages as core_messages
 from foxtailreach.core.dispatch import messages
+from foxtailreach.core.dispatch.broker import Standing
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.coordinators import Coordinators
 from foxtailreach.core.dispatch.deployment import (
@@ -301,8 +302,7 @@
                 requester = Requester(
                     sender,
                     self._domain_of(sender),
-                    self.is_isolated(now_us),
-                    self._is_settled(message.service_name, now_us),
+                    self._standing(message.service_name, now_us),
                 )
                 return list(
                     self._brokers.request_slot(requester, message, now_us),
@@ -332,12 +332,15 @@
                 return new_effects
         return []
 
-    def _is_settled(self, service: str, now_us: int) -> bool:
+    def _standing(self, service: str, now_us: int) -> Standing:
         self._reach.update(now_us)
         subject = _service_subject(service)
-        return self._reach.history.was_first(
+        first = self._reach.current.top(subject)[:1]
+        is_first = first == (self.host_id,)
+        is_settled = self._reach.history.was_first(
             subject, self._brokered_since_us, now_us
         )
+        return Standing(is_first and not self.is_isolated(now_us), is_settled)
 
     def _find_customer(self, name: str) -> CustomerSpec | None:
         if self.deployment is None:
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -66,15 +66,14 @@
 class PlacementState:
     """The state of a service that placement depends on.
 
-    `is_isolated` means that the broker's host has lost contact with all
-    others.
+    `is_sole` means that no other host brokers the service.
     """
 
     started_us: int
     service_us: int
     busy_slots: int = 0
     demand: CoverageDemand = CoverageDemand()
-    is_isolated: bool = False
+    is_sole: bool = True
     last_probe_us: int = 0
 
 
@@ -90,7 +89,7 @@
     targets. Unproven ones and then ejected ones are the last resort.
     """
     records = list(records)
-    if state.is_isolated:
+    if not state.is_sole:
         # Other hosts may already use the whole warm-up rate of a target.
         records = [
             record for record in records if not record.is_warming_up(now_us)
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from foxtailreach.core.dispatch import messages
-from foxtailreach.core.dispatch.broker import Broker, Effects
+from foxtailreach.core.dispatch.broker import Broker, Effects, Standing
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
 from foxtailreach.core.units import SECOND_US
@@ -19,16 +19,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Requester:
-    """The host that requests a slot.
-
-    `is_isolated` and `is_settled` say how the broker's host stands; see
-    `Broker.set_standing`.
-    """
+    """The host that requests a slot, and the standing of the broker's host."""
 
     host_id: str
     domain: str
-    is_isolated: bool
-    is_settled: bool
+    standing: Standing
 
 
 @dataclass(slots=True)
@@ -97,9 +92,7 @@
             refusal = messages.SlotRefused(request.ask_id, cause, SECOND_US)
             return [messages.SendHost(sender.host_id, refusal)]
         entry.last_request_us = now_us
-        entry.broker.set_standing(
-            is_isolated=sender.is_isolated, is_settled=sender.is_settled
-        )
+        entry.broker.set_standing(sender.standing)
         return entry.broker.request_slot(
             sender.host_id,
             sender.domain,
--- a/foxtailreach/core/dispatch/wait_queue.py
+++ b/foxtailreach/core/dispatch/wait_queue.py
@@ -91,6 +91,12 @@
         """Remove a request; return False if it is not queued."""
         return self._waiters.pop((host_id, ask_id), None) is not None
 
+    def count_retries(self) -> int:
+        """Count the queued requests that are retries."""
+        return sum(
+            waiter.slot_request.is_repeat for waiter in self._waiters.values()
+        )
+
     def ordered(self, now_us: int, service_us: int) -> list[Waiter]:
         """List the queued requests in the order in which they are served."""
         return sorted(
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -9,6 +9,7 @@
 
 from foxtailreach.core.dispatch import broker as broker_module
 from foxtailreach.core.dispatch import cover, messages
+from foxtailreach.core.dispatch.broker import Standing
 from foxtailreach.core.dispatch.deployment import RequestKind
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
 from foxtailreach.core.dispatch.placement import choose_target
@@ -115,7 +116,7 @@
     broker = create_broker(0)
     targets = [spec(0, warm_up_left_us=9 * SECOND_US), spec(1)]
     broker.update_targets(SERVICE, targets, frozenset(), START_US)
-    broker.set_standing(is_isolated=True, is_settled=True)
+    broker.set_standing(Standing(is_sole=False, is_settled=True))
     chosen_ids = set()
     for ask_id in range(2):
         new_effects = broker.request_slot(
--- a/foxtailreach/tests/dispatch/fleet_replay.py
+++ b/foxtailreach/tests/dispatch/fleet_replay.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import heapq
 import itertools
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -65,6 +66,8 @@
 # Time until requests are sent, longer than the window of the limits.
 SETTLE_S = 6.0
 FLOOR_STEP_S = 0.25
+# Longer than any replay.
+WARM_UP_LEFT_US = 300 * SECOND_US
 # Longer than any request takes.
 DRAIN_S = 4.0
 
@@ -112,10 +115,10 @@
     """A fleet, its targets and the requests of one customer.
 
     The customer sends `demand` times its rate, through hosts at random; the
-    rate is its limit only if `is_limited`. A
-    target is healthy and failing by turns; while failing, it fails
-    `failing_share` of its requests. Requests are sent from `SETTLE_S` until
-    `seconds` after the start.
+    rate is its limit only if `is_limited`. A target is healthy and failing by
+    turns; while failing, it fails `failing_share` of its requests. With a
+    `warm_up_rate_per_s`, all targets warm up during the whole replay. Requests
+    are sent from `SETTLE_S` until `seconds` after the start.
     """
 
     hosts: int = 10
@@ -131,6 +134,7 @@
     mean_failing_s: float = 3.6
     failing_share: float = 0
     mean_latency_ms: int = 240
+    warm_up_rate_per_s: float = 0
     network: Network = Network()
     policy: LimitPolicy = LimitPolicy(5 * SECOND_US, 0.1, 20)
 
@@ -165,7 +169,11 @@
         return Deployment(
             1,
             index_routes([route]),
-            {'svc': SERVICE},
+            {
+                'svc': replace(
+                    SERVICE, warm_up_rate_per_s=self.warm_up_rate_per_s
+                )
+            },
             {'c': self.customer},
             {digest_key('key'): 'c'},
         )
@@ -403,6 +411,9 @@
                 '10.0.1.1',
                 8000 + index,
                 load.slots,
+                warm_up_left_us=(
+                    WARM_UP_LEFT_US if load.warm_up_rate_per_s else 0
+                ),
             )
             for index in range(load.targets)
         ]
@@ -527,6 +538,20 @@
             excesses.append(retries - allowed)
         return max(excesses)
 
+    def most_arrivals_at_a_target(self, window_us: int) -> int:
+        """Return the most arrivals at one target in any window."""
+        most = 0
+        for target in range(self.load.targets):
+            times_us = sorted(
+                arrival.at_us
+                for arrival in self.arrivals
+                if arrival.target == target
+            )
+            for first, start_us in enumerate(times_us):
+                end = bisect.bisect_right(times_us, start_us + window_us - 1)
+                most = max(most, end - first)
+        return most
+
     def floor_violations(self) -> list[float]:
         """List the ends of the windows that violate the coverage floor."""
         ends_s = []
