--- a/foxtailreach/core/dispatch/contact.py
+++ b/foxtailreach/core/dispatch/contact.py
@@ -24,8 +24,8 @@
 # A domain that is silent for this long is pinged, and later taken for cut off.
 KEEP_ALIVE_US = 400 * MILLISECOND_US
 CUT_OFF_AFTER_US = 2 * SECOND_US
-# What a reader told is forgotten when two of its notices are missing.
-TOLD_VALID_US = 1800 * MILLISECOND_US
+# The report of a reader expires when two of its notices are missing.
+REPORT_VALID_US = 1800 * MILLISECOND_US
 
 
 class DomainContact:
@@ -42,8 +42,8 @@
         '_next_keep_alive_us',
         '_next_ping_us',
         '_rng',
-        '_told_cut_off',
-        '_told_us',
+        '_reported_cut_off',
+        '_reported_us',
         '_was_coordinator',
     )
 
@@ -58,8 +58,8 @@
         """Create a record for a host of `domain`, without messages."""
         self._membership = membership
         self._coordinators = coordinators
-        self._told_cut_off: frozenset[str] = frozenset()
-        self._told_us = 0
+        self._reported_cut_off: frozenset[str] = frozenset()
+        self._reported_us = 0
         self._was_coordinator = False
         self._domain = domain
         self._rng = rng
@@ -74,10 +74,12 @@
         """Record a message from a host of a domain."""
         self._heard_us[domain] = now_us
 
-    def record_told(self, cut_off: Iterable[str], now_us: int) -> None:
-        """Record which domains are cut off, by the reader of this domain."""
-        self._told_cut_off = frozenset(cut_off) - {self._domain}
-        self._told_us = now_us
+    def record_cut_off_report(
+        self, cut_off: Iterable[str], now_us: int
+    ) -> None:
+        """Record which domains are cut off, as this domain's reader reports."""
+        self._reported_cut_off = frozenset(cut_off) - {self._domain}
+        self._reported_us = now_us
 
     def listen_again(self) -> None:
         """Forget for how long the domains were silent, after a pause."""
@@ -105,13 +107,13 @@
 
         A host that is no coordinator relies on the reader of its domain.
         """
-        is_coordinator = self._coordinators.is_one
+        is_coordinator = self._coordinators.includes_this_host
         if is_coordinator and not self._was_coordinator:
             self.listen_again()
         self._was_coordinator = is_coordinator
         if not is_coordinator:
-            is_valid = now_us - self._told_us < TOLD_VALID_US
-            return self._told_cut_off if is_valid else frozenset()
+            is_valid = now_us - self._reported_us < REPORT_VALID_US
+            return self._reported_cut_off if is_valid else frozenset()
         return frozenset(
             domain
             for domain in self._live_hosts()
@@ -136,7 +138,10 @@
 
         Only coordinators listen for the domains.
         """
-        if now_us < self._next_keep_alive_us or not self._coordinators.is_one:
+        if (
+            now_us < self._next_keep_alive_us
+            or not self._coordinators.includes_this_host
+        ):
             return iter(())
         self._next_keep_alive_us = now_us + KEEP_ALIVE_US
         silent = [
--- a/foxtailreach/core/dispatch/coordinators.py
+++ b/foxtailreach/core/dispatch/coordinators.py
@@ -54,7 +54,7 @@
         return self._hosts
 
     @property
-    def is_one(self) -> bool:
+    def includes_this_host(self) -> bool:
         """Whether this host is a coordinator."""
         return self._membership.host_id in self.hosts
 
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -235,9 +235,11 @@
         """Return the failure domains that are out of contact."""
         return self._reach.contact.cut_off(now_us)
 
-    def record_told(self, cut_off: Iterable[str], now_us: int) -> None:
-        """Record which domains are cut off, by the reader of this domain."""
-        self._reach.contact.record_told(cut_off, now_us)
+    def record_cut_off_report(
+        self, cut_off: Iterable[str], now_us: int
+    ) -> None:
+        """Record which domains are cut off, as this domain's reader reports."""
+        self._reach.contact.record_cut_off_report(cut_off, now_us)
 
     def announcement(self) -> messages.HostAnnounced:
         """Build the message that introduces this host to others."""
@@ -379,11 +381,12 @@
         """Ping hosts that hold slots for long; release those of lost ones."""
         if self._reach.resumed_us == now_us:
             self._holders.reset()
-        checks = self._holders.check(self._brokers.oldest_grants(), now_us)
+        oldest_grants_us = self._brokers.oldest_grants()
+        oldest_grants_us.pop(self.host_id, None)
+        checks = self._holders.check(oldest_grants_us, now_us)
         new_effects: Effects = [
             messages.SendHost(host_id, self.membership.create_ping(now_us))
             for host_id in checks.to_ping
-            if host_id != self.host_id
         ]
         for host_id in checks.lost:
             new_effects.extend(self._brokers.host_lost(host_id, now_us))
--- a/foxtailreach/core/dispatch/reach.py
+++ b/foxtailreach/core/dispatch/reach.py
@@ -78,7 +78,7 @@
 
     def update(self, now_us: int) -> None:
         """Record the reachable ones, and the share that is out of reach."""
-        if self._coordinators.is_one:
+        if self._coordinators.includes_this_host:
             self._record_contact(now_us)
         state = (self._membership.version, self.contact.cut_off(now_us))
         if state == self._recorded and now_us < self._next_absence_us:
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -127,7 +127,7 @@
         now_us = boot_time_us()
         if self._is_in_own_domain(sender):
             if message.is_reading:
-                self._node.record_told(message.cut_off, now_us)
+                self._node.record_cut_off_report(message.cut_off, now_us)
             self._node.election.record_notice(
                 sender,
                 now_us,
--- a/foxtailreach/tests/dispatch/fleet_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_tests.py
@@ -235,6 +235,46 @@
         assert not any(map(_is_digest, new_effects))
 
 
+@pytest.mark.parametrize(
+    ('holder', 'answers', 'is_kept'),
+    [
+        ('other', True, True),
+        ('other', False, False),
+        # A broker sends no pings to itself.
+        ('broker', False, True),
+    ],
+)
+def test_broker_releases_the_slots_of_a_lost_host_only(
+    holder: str, answers: bool, is_kept: bool
+) -> None:
+    fleet = create_fleet(('d1', 'd1', 'd1'))
+    ranked = fleet['h1'].broker_hosts('svc', START_US)
+    broker = fleet[ranked[0]]
+    holder_id = ranked[0] if holder == 'broker' else ranked[1]
+    all_slots = range(6)
+    for ask_id in all_slots:
+        request = slot_request(ask_id, time_left_us=10 * SECOND_US)
+        broker.receive(holder_id, request, START_US)
+    now_us = START_US
+    while now_us < START_US + 3 * SECOND_US:
+        now_us += SECOND_US // 10
+        for effect in broker.tick(now_us):
+            is_ping = isinstance(effect, messages.SendHost) and isinstance(
+                effect.message, core_messages.Ping
+            )
+            if is_ping and answers:
+                ack = core_messages.Ack(1, holder_id, 1, 0, 0)
+                broker.receive(holder_id, ack, now_us)
+    later = slot_request(9, time_left_us=10 * SECOND_US)
+    sent = broker.receive(ranked[2], later, now_us)
+    has_slot = any(
+        isinstance(effect, messages.SendHost)
+        and isinstance(effect.message, messages.SlotGrant)
+        for effect in sent
+    )
+    assert has_slot is not is_kept
+
+
 def _is_digest(effect: object) -> bool:
     return isinstance(effect, messages.SendHost) and isinstance(
         effect.message,
