--- a/foxtailreach/tests/dispatch/fleet_floor_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_floor_tests.py
@@ -34,8 +34,8 @@
 
 @pytest.mark.parametrize(
     ('script', 'seed'),
-    [(None, 0), (lose_hosts, 7), (lose_hosts, 8)],
-    ids=['calm', 'lost-hosts', 'lost-hosts-8'],
+    [(None, 0), (lose_hosts, 6), (lose_hosts, 7), (lose_hosts, 8)],
+    ids=['calm', 'lost-hosts-6', 'lost-hosts', 'lost-hosts-8'],
 )
 def test_loss_of_hosts_leaves_most_healthy_targets_in_use(
     script: Script | None,
