--- a/foxtailreach/gateway/peers.py
+++ b/foxtailreach/gateway/peers.py
@@ -125,8 +125,6 @@
             case messages.HostUnknown():
                 self.send_to(addr, self._announce())
                 return
-            case _:
-                ...
         host_id = self._host_ids.get(addr)
         if host_id is None:
             self._ask_unknown(addr)
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -347,11 +347,24 @@
         except asyncio.CancelledError:
             if self._is_refusing and task.cancelled():
                 return None
-            task.cancel()
+            self._give_up(context, task)
             raise
         finally:
             self._waiting.discard(task)
 
+    def _give_up(
+        self,
+        context: RequestContext,
+        task: asyncio.Task[GrantedSlot | messages.SlotRefused],
+    ) -> None:
+        """Withdraw a request for a slot, or return the slot just granted."""
+        if not task.done():
+            task.cancel()
+        elif not task.cancelled() and task.exception() is None:
+            slot = task.result()
+            if isinstance(slot, GrantedSlot):
+                self._return_slot(context, slot)
+
     async def _attempt(
         self,
         context: RequestContext,
--- a/foxtailreach/tests/gateway/proxy_tests.py
+++ b/foxtailreach/tests/gateway/proxy_tests.py
@@ -324,3 +324,40 @@
         return len(asyncio.all_tasks()) - 1
 
     assert not asyncio.run(main())
+
+
+class LateGrantFleet(SilentMeter):
+    """Grants a slot at the moment at which the caller leaves."""
+
+    def __init__(self) -> None:
+        """Grant nothing yet."""
+        super().__init__()
+        self.may_grant = asyncio.Event()
+
+    async def acquire(
+        self,
+        draft: messages.SlotRequest,
+        deadline_us: int,
+    ) -> GrantedSlot | messages.SlotRefused:
+        """Wait until a slot may be granted."""
+        await self.may_grant.wait()
+        return await super().acquire(draft, deadline_us)
+
+
+def test_slot_granted_as_the_caller_leaves_is_returned() -> None:
+    """Otherwise the slot stays taken until its lease expires."""
+    deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
+
+    async def main() -> list[SendOutcome]:
+        fleet = LateGrantFleet()
+        proxy = create_proxy(fleet, deployment)
+        task = asyncio.ensure_future(proxy.handle(caller_request()))
+        await asyncio.sleep(0.02)
+        fleet.may_grant.set()
+        # One pass of the loop: the slot is granted, its request not resumed.
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return fleet.reported
+
+    assert asyncio.run(main()) == [SendOutcome.ABANDONED]
