Log by which list of targets a slot was granted and sent

DRAIN reports could not tell a broker with an old list from a notice that came late. A grant now carries the version of the broker's targets; the log line of an attempt has it beside the sending host's version, and whether that host knew the target as left. Readers log the removals that they read.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -19,6 +19,7 @@
 )
 from foxtailreach.core.dispatch.deployment import ServiceSpec, TargetSpec
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.dispatch.mirror import NO_VERSION
 from foxtailreach.core.dispatch.placement import (
     PlacementRequest,
     PlacementState,
@@ -103,6 +104,7 @@
         '_queue',
         '_retry_budget',
         '_spec',
+        '_state_version',
         'records',
     )
 
@@ -116,6 +118,7 @@
         """Create a broker without targets; `update_targets` adds them."""
         self.records: dict[str, TargetRecord] = {}
         self._spec = spec
+        self._state_version = NO_VERSION
         self._queue = wait_queue.WaitQueue(rng)
         self._retry_budget = RetryBudget(policy)
         self._mean_service_us = float(DEFAULT_SERVICE_TIME_US)
@@ -142,12 +145,14 @@
         targets: Iterable[TargetSpec],
         evacuated: frozenset[str],
         now_us: int,
+        state_version: int = NO_VERSION,
     ) -> Effects:
         """Replace the targets; those in evacuated domains get no requests.
 
         A target whose domain returns to service warms up again.
         """
         self._spec = spec
+        self._state_version = state_version
         listed = {target.target_id: target for target in targets}
         for removed_id in self.records.keys() - listed.keys():
             self.records.pop(removed_id)
@@ -410,6 +415,7 @@
             port=record.spec.port,
             started_ms=record.spec.started_ms,
             proven_age_us=proven_age_us,
+            state_version=self._state_version,
         )
         self._leases[holder] = Lease(
             grant, now_us, expires_us, is_probe, slot_request.is_repeat
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -24,6 +24,7 @@
 from foxtailreach.core.dispatch.host_messages import Effects, HostMessages
 from foxtailreach.core.dispatch.metering import Metering
 from foxtailreach.core.dispatch.meters import LimitPolicy
+from foxtailreach.core.dispatch.mirror import NO_VERSION
 from foxtailreach.core.dispatch.reach import Reach
 from foxtailreach.core.dispatch.reader_election import ReaderElection
 from foxtailreach.core.dispatch.service_brokers import Requester, ServiceBrokers
@@ -84,9 +85,11 @@
         '_suspected',
         'deployment',
         'election',
+        '_targets_by_id',
         'evacuated',
         'membership',
         'targets',
+        'targets_version',
     )
 
     def __init__(
@@ -113,6 +116,8 @@
         )
         self.deployment: Deployment | None = None
         self.targets: tuple[TargetSpec, ...] = ()
+        self.targets_version = NO_VERSION
+        self._targets_by_id: dict[str, TargetSpec] = {}
         self.evacuated: frozenset[str] = frozenset()
         self._brokers = ServiceBrokers(config.retry_policy, rng)
         self._host_messages = HostMessages(
@@ -199,19 +204,38 @@
         targets: Iterable[TargetSpec],
         evacuated: frozenset[str],
         now_us: int,
+        targets_version: int = NO_VERSION,
     ) -> Effects:
         """Replace the configuration, targets and evacuated domains."""
         self.deployment = deployment
         self.targets = tuple(targets)
+        self.targets_version = targets_version
+        self._targets_by_id = {
+            target.target_id: target for target in self.targets
+        }
         self.evacuated = evacuated
         new_effects = self._brokers.update(
             deployment,
             self.targets,
             evacuated,
             now_us,
+            targets_version,
         )
         return list(new_effects)
 
+    def knows_as_left(self, grant: messages.SlotGrant) -> bool:
+        """Tell whether a granted target must get no further requests.
+
+        True if it is draining, gone or restarted by a list of targets that is
+        at least as new as the broker's.
+        """
+        if grant.state_version > self.targets_version:
+            return False
+        target = self._targets_by_id.get(grant.target_id)
+        if target is None or target.is_draining:
+            return True
+        return target.started_ms != grant.started_ms
+
     def update_hosts(
         self,
         registrations: Iterable[messages.HostAnnounced],
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -91,7 +91,8 @@
     """Grants a slot for one request on a target.
 
     `proven_age_us` is the age of the target's last success; -1 if the target
-    is unproven.
+    is unproven. `state_version` is the version of the list of targets that the
+    broker granted by; -1 if it never got one.
     """
 
     ask_id: int
@@ -100,6 +101,7 @@
     port: int
     started_ms: int
     proven_age_us: int
+    state_version: int = -1
 
 
 @dataclass(slots=True, frozen=True)
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -10,6 +10,7 @@
 from foxtailreach.core.dispatch.broker import Broker, Effects, Standing
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
+from foxtailreach.core.dispatch.mirror import NO_VERSION
 from foxtailreach.core.units import SECOND_US
 
 # Evidence becomes stale fast.
@@ -45,6 +46,7 @@
         '_evacuated',
         '_policy',
         '_rng',
+        '_state_version',
         '_targets',
     )
 
@@ -54,6 +56,7 @@
         self._rng = rng
         self._deployment: Deployment | None = None
         self._targets: tuple[TargetSpec, ...] = ()
+        self._state_version = NO_VERSION
         self._evacuated: frozenset[str] = frozenset()
         self._entries: dict[str, BrokerEntry] = {}
 
@@ -63,8 +66,10 @@
         targets: Iterable[TargetSpec],
         evacuated: frozenset[str],
         now_us: int,
+        state_version: int = NO_VERSION,
     ) -> Effects:
         """Replace the configuration and targets of all brokers."""
+        self._state_version = state_version
         self._deployment = deployment
         self._targets = tuple(targets)
         self._evacuated = evacuated
@@ -208,7 +213,9 @@
             target for target in self._targets if target.service == service
         ]
         spec = self._deployment.services[service]
-        return broker.update_targets(spec, targets, self._evacuated, now_us)
+        return broker.update_targets(
+            spec, targets, self._evacuated, now_us, self._state_version
+        )
 
 
 def _is_digest_due(entry: BrokerEntry, now_us: int) -> bool:
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -106,7 +106,9 @@
 class AttemptTrace:
     """One attempt: the granted slot and its outcome.
 
-    `cause` says why a connection to the target was given up.
+    `cause` says why a connection to the target was given up. `granted_version`
+    and `known_version` are those of the targets that the broker and this host
+    knew; `is_known_as_left` tells that this host knew that the target leaves.
     """
 
     broker: str
@@ -117,6 +119,9 @@
     proven_age_us: int
     is_reused: bool
     cause: str = ''
+    granted_version: int = -1
+    known_version: int = -1
+    is_known_as_left: bool = False
 
 
 def find_header(headers: RawHeaders, name: bytes) -> bytes:
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -379,6 +379,9 @@
             latency_us=0,
             proven_age_us=slot.grant.proven_age_us,
             is_reused=False,
+            granted_version=slot.grant.state_version,
+            known_version=self._node.targets_version,
+            is_known_as_left=self._node.knows_as_left(slot.grant),
         )
         context.trace.attempts.append(attempt)
         context.excluded.add(slot.grant.target_id)
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -263,6 +263,7 @@
                     topic.name,
                 )
             else:
+                _log_removals(topic, page)
                 return topic.fold(
                     self._held_records(topic, page), page.next_offset
                 )
@@ -367,6 +368,7 @@
             targets,
             evacuated,
             boot_time_us(),
+            self.mirror.topics[records.TARGETS_TOPIC].version,
         )
         self._on_effects(effects)
         if deployment is not None and deployment is not previous:
@@ -399,6 +401,21 @@
         return state is not None and state.entry.domain == self._entry.domain
 
 
+def _log_removals(topic: TopicMirror, page: TopicPage) -> None:
+    """Log which known targets were removed from the store."""
+    if topic.name != records.TARGETS_TOPIC:
+        return
+    removed = [
+        record.key
+        for record in page.records
+        if not record.payload and record.key in topic.records
+    ]
+    if removed:
+        logger.bind(targets=removed, next_offset=page.next_offset).info(
+            'targets left'
+        )
+
+
 def _log_faults(deployment: Deployment) -> None:
     """Log the parts of a configuration that cannot be used as written."""
     for fault in deployment.faults[:MAX_LOGGED_FAULTS]:
--- a/foxtailreach/queries/explain.py
+++ b/foxtailreach/queries/explain.py
@@ -94,6 +94,12 @@
         evidence = f'last good answer {_in_ms(proven_age_us)} before'
     connection = 'kept' if attempt.get('is_reused') else 'new'
     cause = f': {attempt["cause"]}' if attempt.get('cause') else ''
+    if attempt.get('is_known_as_left'):
+        cause = (
+            f'{cause}; known here as left by version '
+            f'{attempt.get("known_version")} of the targets, granted by '
+            f'{attempt.get("granted_version")}'
+        )
     return (
         f'{attempt.get("target_id")} ({evidence}), granted by '
         f'{attempt.get("broker")} after {_in_ms(attempt.get("slot_wait_us"))}, '
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -29,7 +29,7 @@
 
 struct SlotGrant {
   1: i64 ask_id, 2: string target_id, 3: string address, 4: i32 port,
-  5: i64 started_ms, 6: i64 proven_age_us
+  5: i64 started_ms, 6: i64 proven_age_us, 7: i64 state_version
 }
 
 struct SlotQueued { 1: i64 ask_id, 2: i64 wait_us }
