Take a target out of use as its entry leaves the store, after a failed call too

What callers saw: requests reached targets that had left, over drain_ms after the store had acknowledged it (DRAIN).

Cause: a reader took every removal after a failed call of its own for an entry that expired in an outage, and kept the record in its mirror for 2.5 s. One refused call was enough, and so was a host that read again long after another host of its domain had taken over. Class: one host's failed call taken for a fault of what it called. The mirror then claimed versions whose changes it did not hold, so no other host could notice.

Change: the mirror follows the log always. An outage is told by what targets could write meanwhile (OutageDetector), over the reads of the whole failure domain; only then are expired entries retained for 2.5 s, beside the mirror, and copies between hosts say which (RetainedRecords). Works because a store that refuses hosts still has the heartbeats of the targets, and one that was away has none. TopicMirror.drop, which made up a version, is gone; its two tests now remove by replace.

--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -256,13 +256,15 @@
 
     `age_us` is -1 if the state was never read; `is_reading` tells that the
     sender reads the platform. `cut_off` are the failure domains from which
-    the sender has heard nothing for too long.
+    the sender has heard nothing for too long. The sender has read the log of
+    targets up to `log_offset`; -1 if it does not read it.
     """
 
     versions: tuple[TopicVersion, ...]
     age_us: int
     is_reading: bool
     cut_off: tuple[str, ...] = ()
+    log_offset: int = -1
 
 
 @dataclass(slots=True, frozen=True)
@@ -300,9 +302,15 @@
 
 @dataclass(slots=True, frozen=True)
 class StateCopy:
-    """Answers a `StatePull`."""
+    """Answers a `StatePull`.
+
+    The targets `retained` may have expired in an outage of the store; they are
+    used for `retained_for_us` more unless they are renewed.
+    """
 
     topics: tuple[TopicCopy, ...]
+    retained: tuple[str, ...] = ()
+    retained_for_us: int = 0
 
 
 FleetMessage = (
--- a/foxtailreach/core/dispatch/mirror.py
+++ b/foxtailreach/core/dispatch/mirror.py
@@ -22,6 +22,7 @@
     TopicCopy,
     TopicVersion,
 )
+from foxtailreach.core.dispatch.retention import RetainedRecords
 
 # Removed keys that are kept for deltas; hosts with an older version get a whole
 # copy.
@@ -122,15 +123,6 @@
             self._remove(key)
         return is_changed or is_first or bool(missing_keys)
 
-    def drop(self, keys: Iterable[str]) -> bool:
-        """Remove keys that the platform lost; return whether any was known."""
-        lost_keys = [key for key in keys if key in self.records]
-        if lost_keys:
-            self.version += 1
-        for key in lost_keys:
-            self._remove(key)
-        return bool(lost_keys)
-
     @property
     def pull_version(self) -> int:
         """Version for the next pull; `NO_VERSION` requests all records."""
@@ -216,10 +208,7 @@
         return change is Change.MATERIAL
 
     def _advance_version(self, record: KeyedRecord) -> None:
-        """Raise the version beyond the record's offset and the old version.
-
-        Dropped keys may have raised the version beyond the offset already.
-        """
+        """Raise the version beyond the record's offset and the old version."""
         self.version = max(self.version + 1, record.offset + 1)
 
     def _remove(self, key: str) -> None:
@@ -246,13 +235,17 @@
 
 
 class StateMirror:
-    """The replicas of all topics on this host."""
+    """The replicas of all topics on this host.
+
+    `retained` are targets that the topics lack but that are still used.
+    """
 
-    __slots__ = ('topics',)
+    __slots__ = ('retained', 'topics')
 
     def __init__(self, topics: Iterable[TopicMirror]) -> None:
         """Create a mirror of these topics."""
         self.topics = {topic.name: topic for topic in topics}
+        self.retained = RetainedRecords()
 
     def versions(self) -> tuple[TopicVersion, ...]:
         """Return the version of each topic."""
--- a/foxtailreach/gateway/peers.py
+++ b/foxtailreach/gateway/peers.py
@@ -30,6 +30,7 @@
 # Hosts of a domain request the same changes at the same time, so encoded
 # copies are cached.
 MAX_CACHED_COPIES = 8
+RETENTION_STEP_US = 250 * MILLISECOND_US
 READ_BYTES = 65_536
 MAX_ASKED_ADDRESSES = 1000
 MAX_COPY_BYTES = 64 * 1024 * 1024
@@ -42,6 +43,8 @@
 Receive = Callable[[str, messages.FleetMessage], None]
 Announce = Callable[[], messages.HostAnnounced]
 Versions = tuple[messages.TopicVersion, ...]
+# Versions of both hosts, the retained targets and their remaining time.
+CopyKey = tuple[Versions, Versions, tuple[str, ...], int]
 
 
 class PeerEndpoint(asyncio.DatagramProtocol):
@@ -151,7 +154,7 @@
         """Serve the changes in `mirror`."""
         super().__init__()
         self._mirror = mirror
-        self._encoded_changes: dict[tuple[Versions, Versions], bytes] = {}
+        self._encoded_changes: dict[CopyKey, bytes] = {}
 
     async def handle_stream(
         self,
@@ -171,10 +174,18 @@
 
     def _encode_changes(self, versions: Versions) -> bytes:
         """Return the encoded changes since `versions`, cached by version."""
-        key = (versions, self._mirror.versions())
+        retained = self._mirror.retained
+        # Rounded, so that hosts that pull at once share a cached copy.
+        steps = retained.remaining_us(boot_time_us()) // RETENTION_STEP_US
+        remaining_us = steps * RETENTION_STEP_US
+        key = (versions, self._mirror.versions(), retained.keys, remaining_us)
         compressed = self._encoded_changes.get(key)
         if compressed is None:
-            copy = messages.StateCopy(self._mirror.deltas_since(versions))
+            copy = messages.StateCopy(
+                self._mirror.deltas_since(versions),
+                retained.keys,
+                remaining_us,
+            )
             compressed = zlib.compress(
                 FLEET_CODEC.encode(copy), COMPRESSION_LEVEL
             )
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -7,6 +7,7 @@
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.meters import LimitPolicy
 from foxtailreach.core.messages import HostEntry
+from foxtailreach.core.units import MILLISECOND_US
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,6 +25,7 @@
     `seeds` are addresses of some hosts of the fleet and may be outdated; only
     their IP addresses are used, with this host's own peer port.
     `is_first_start` tells that the whole fleet starts for the first time.
+    Targets write a heartbeat every `target_heartbeat_us`.
     `capacity` is the processor time of the host in hundredths of a core;
     `max_body_memory_bytes` bounds the memory for the bodies of all requests.
     """
@@ -43,6 +45,7 @@
     max_body_memory_bytes: int
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
+    target_heartbeat_us: int = 1500 * MILLISECOND_US
 
     @property
     def entry(self) -> HostEntry:
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -22,6 +22,7 @@
 from foxtailreach.core.dispatch.host_messages import Effects
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.dispatch.mirror import TopicMirror
+from foxtailreach.core.dispatch.outages import OutageDetector
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.exceptions import (
@@ -31,7 +32,6 @@
 from foxtailreach.gateway.peers import PeerEndpoint, pull_state
 from foxtailreach.gateway.settings import GatewaySettings
 from foxtailreach.platform import records
-from foxtailreach.platform.removals import HeldRemovals
 from foxtailreach.platform.store import StoreClient, TopicPage
 
 # A draining target must get no requests from 2 s after its record is in the
@@ -53,6 +53,9 @@
 READER_SILENCE_US = 1500 * MILLISECOND_US
 REMOTE_PULL_INTERVAL_US = 500 * MILLISECOND_US
 MAX_LOGGED_FAULTS = 20
+# Targets that live renew their entries within 2 s of the store's return.
+RENEWAL_US = 2500 * MILLISECOND_US
+EXPIRY_MARGIN_US = 10 * MILLISECOND_US
 
 OnEffects = Callable[[Effects], None]
 
@@ -75,7 +78,10 @@
         """
         self.mirror = records.create_mirror()
         self.last_read_us = 0
-        self._removals = HeldRemovals()
+        self._is_store_up = True
+        self._outages = OutageDetector(settings.target_heartbeat_us)
+        self._renewal_end_us = 0
+        self._returned_offset = 0
         self._settings = settings
         self._entry = settings.entry
         self._store = store
@@ -133,6 +139,8 @@
                 now_us,
                 is_reading=message.is_reading,
             )
+            if message.is_reading:
+                self._outages.record_read(message.log_offset, now_us)
         if self.mirror.is_diverged or self.mirror.is_behind(message.versions):
             asyncio.ensure_future(self._pull(sender))
 
@@ -243,16 +251,23 @@
             if await self._read_topic(hosts, 0):
                 self._apply_hosts()
         self._record_read(now_us)
-        is_changed = topic.drop(self._removals.take_due(now_us)) or is_changed
         if is_changed:
             self._apply_state()
         self._notify_domain()
 
     async def _read_topic(self, topic: TopicMirror, wait_ms: int) -> bool:
         """Bring one topic up to date; return whether something changed."""
+        page = await self._fetch(topic, wait_ms)
+        if topic.name == records.TARGETS_TOPIC:
+            self._retain_expired(topic, page, boot_time_us())
+        if page.is_whole:
+            return topic.replace(page.records, page.next_offset)
+        return topic.fold(page.records, page.next_offset)
+
+    async def _fetch(self, topic: TopicMirror, wait_ms: int) -> TopicPage:
         if topic.is_read:
             try:
-                page = await self._store.read(
+                return await self._store.read(
                     topic.name,
                     topic.next_offset,
                     wait_ms,
@@ -262,27 +277,60 @@
                     'history of {} was trimmed, reading all its records',
                     topic.name,
                 )
-            else:
-                _log_removals(topic, page)
-                return topic.fold(
-                    self._held_records(topic, page), page.next_offset
-                )
-        page = await self._store.read_newest(topic.name)
-        listed = list(page.records)
-        if topic.name == records.TARGETS_TOPIC:
-            listed = self._removals.keep_missing(listed, topic, boot_time_us())
-        return topic.replace(listed, page.next_offset)
+        return await self._store.read_newest(topic.name)
 
-    def _held_records(
-        self, topic: TopicMirror, page: TopicPage
-    ) -> list[KeyedRecord]:
-        if topic.name != records.TARGETS_TOPIC:
-            return list(page.records)
-        return self._removals.hold(page.records, boot_time_us())
+    def _retain_expired(
+        self, topic: TopicMirror, page: TopicPage, now_us: int
+    ) -> None:
+        """Retain targets whose entries expired in an outage of the store."""
+        removed = [topic.records[key] for key in _removed_keys(topic, page)]
+        if self._outages.was_away(
+            page.records, len(removed), page.next_offset, now_us
+        ):
+            self._renewal_end_us = now_us + RENEWAL_US
+            self._returned_offset = page.next_offset
+            logger.bind(next_offset=page.next_offset).info(
+                'store is back after an outage'
+            )
+        self._outages.record_read(page.next_offset, now_us)
+        expired = [
+            record
+            for record in removed
+            if now_us < self._renewal_end_us
+            # A target that was heard after the outage has left by itself.
+            and record.offset < self._returned_offset
+        ]
+        self._retain(expired, self._renewal_end_us - now_us)
+        if removed:
+            logger.bind(
+                targets=[record.key for record in removed],
+                retained=len(expired),
+                next_offset=page.next_offset,
+            ).info('targets left')
+
+    def _retain(self, removed: list[KeyedRecord], for_us: int) -> None:
+        """Use removed targets for some time more."""
+        if not removed:
+            return
+        self.mirror.retained.keep(removed, boot_time_us() + for_us)
+        # A little later, as the timer of the loop may fire early.
+        delay_s = (for_us + EXPIRY_MARGIN_US) / SECOND_US
+        asyncio.get_running_loop().call_later(delay_s, self._expire_retained)
+
+    def _expire_retained(self) -> None:
+        """Stop using the retained targets that were not renewed in time."""
+        expired = self.mirror.retained.expire(boot_time_us())
+        listed = self.mirror.topics[records.TARGETS_TOPIC].records
+        gone = [key for key in expired if key not in listed]
+        if gone:
+            logger.bind(targets=gone).info('targets not renewed')
+            self._apply_state()
 
     def _record_read(self, now_us: int) -> None:
         self.last_read_us = now_us
-        self._removals.record_read(now_us)
+        if not self._is_store_up:
+            self._is_store_up = True
+            logger.info('store answers again')
         self._node.election.record_notice(
             self._entry.host_id,
             now_us,
@@ -291,7 +339,9 @@
 
     def _record_failure(self, error: PlatformUnavailableError) -> None:
         now_us = boot_time_us()
-        self._removals.record_failure(error)
+        if self._is_store_up:
+            self._is_store_up = False
+            logger.warning('store does not answer: {}', error)
         self._node.election.record_notice(
             self._entry.host_id,
             now_us,
@@ -353,11 +403,19 @@
     async def _pull_changes(self, address: tuple[str, int]) -> bool:
         pull = messages.StatePull(self.mirror.pull_versions())
         copy = await pull_state(address, pull)
-        return copy is not None and self.mirror.adopt(copy.topics)
+        if copy is None:
+            return False
+        known = self.mirror.topics[records.TARGETS_TOPIC].records
+        retained = [known[key] for key in copy.retained if key in known]
+        is_changed = self.mirror.adopt(copy.topics)
+        self._retain(retained, copy.retained_for_us)
+        return is_changed
 
     def _apply_state(self) -> None:
         """Decode the mirrored state and update the node with it."""
         previous = self._node.deployment
+        targets_topic = self.mirror.topics[records.TARGETS_TOPIC]
+        self.mirror.retained.discard(targets_topic.records)
         deployment = records.decode_deployment(self.mirror) or previous
         targets = records.decode_targets(self.mirror)
         evacuated = records.decode_evacuated(self.mirror)
@@ -368,7 +426,7 @@
             targets,
             evacuated,
             boot_time_us(),
-            self.mirror.topics[records.TARGETS_TOPIC].version,
+            targets_topic.version,
         )
         self._on_effects(effects)
         if deployment is not None and deployment is not previous:
@@ -391,8 +449,9 @@
         return messages.StateNotice(
             versions=self.mirror.versions(),
             age_us=self.age_us(now_us),
-            is_reading=self._removals.is_store_up and bool(self.last_read_us),
+            is_reading=self._is_store_up and bool(self.last_read_us),
             cut_off=tuple(sorted(self._node.cut_off_domains(now_us))),
+            log_offset=self.mirror.topics[records.TARGETS_TOPIC].next_offset,
         )
 
     def _is_in_own_domain(self, host_id: str) -> bool:
@@ -401,19 +460,20 @@
         return state is not None and state.entry.domain == self._entry.domain
 
 
-def _log_removals(topic: TopicMirror, page: TopicPage) -> None:
-    """Log which known targets were removed from the store."""
-    if topic.name != records.TARGETS_TOPIC:
-        return
-    removed = [
+def _removed_keys(topic: TopicMirror, page: TopicPage) -> list[str]:
+    """Return the known keys that a page removes."""
+    newest = {record.key: record for record in page.records}
+    if page.is_whole:
+        return [
+            record.key
+            for record in topic.records.values()
+            if record.key not in newest and record.offset < page.next_offset
+        ]
+    return [
         record.key
-        for record in page.records
+        for record in newest.values()
         if not record.payload and record.key in topic.records
     ]
-    if removed:
-        logger.bind(targets=removed, next_offset=page.next_offset).info(
-            'targets left'
-        )
 
 
 def _log_faults(deployment: Deployment) -> None:
--- a/foxtailreach/platform/records.py
+++ b/foxtailreach/platform/records.py
@@ -66,9 +66,10 @@
 
 
 def decode_targets(mirror: StateMirror) -> list[TargetSpec]:
-    """Return the targets whose entries can be decoded; skip the others."""
+    """Return the listed and retained targets; skip malformed entries."""
     targets = []
-    for record in mirror.topics[TARGETS_TOPIC].records.values():
+    listed = mirror.topics[TARGETS_TOPIC].records
+    for record in {**mirror.retained.records, **listed}.values():
         target = decode_target(record)
         if target is not None:
             targets.append(target)
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -10,7 +10,7 @@
 
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.meters import LimitPolicy
-from foxtailreach.core.units import SECOND_US
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.exceptions import SettingsError
 from foxtailreach.gateway.settings import Address, GatewaySettings
 
@@ -21,6 +21,7 @@
 # Each side of a network partition may use the slack.
 BROKER_SLACK_SHARE = 0.5
 DEFAULT_MEMORY_MB = 200
+DEFAULT_HEARTBEAT_MS = 1500
 # The process itself takes 40 MB of 200; answers in flight share the rest.
 BODY_MEMORY_SHARE = 0.4
 CAPACITY_PER_CORE = 100
@@ -96,6 +97,9 @@
             overage=bounds.get('quota_overage', 0),
             slack=bounds.get('quota_slack', 0),
         ),
+        target_heartbeat_us=int(
+            table.get('heartbeat_ms', DEFAULT_HEARTBEAT_MS) * MILLISECOND_US
+        ),
     )
 
 
--- a/foxtailreach/platform/store.py
+++ b/foxtailreach/platform/store.py
@@ -35,10 +35,14 @@
 
 @dataclass(slots=True, frozen=True)
 class TopicPage:
-    """Records of a topic, and the offset after the newest one."""
+    """Records of a topic, and the offset after the newest one.
+
+    `is_whole` if they are the newest record of each key, not a part of the log.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    is_whole: bool = False
 
 
 class StoreClient:
@@ -103,7 +107,7 @@
                     f'malformed list of {topic}: {error!r}',
                 ) from error
             if not page.get('more') or not records:
-                return TopicPage(tuple(records), end)
+                return TopicPage(tuple(records), end, is_whole=True)
             query['after'] = records[-1].key
 
     async def append(self, topic: str, key: str, payload: bytes) -> None:
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -76,7 +76,7 @@
 
 struct StateNotice {
   1: list<TopicVersion> versions, 2: i64 age_us, 3: bool is_reading,
-  4: list<string> cut_off
+  4: list<string> cut_off, 5: i64 log_offset
 }
 
 struct StatePull { 1: list<TopicVersion> versions }
@@ -89,7 +89,9 @@
   6: list<string> removed, 7: i64 key_digest
 }
 
-struct StateCopy { 1: list<TopicCopy> topics }
+struct StateCopy {
+  1: list<TopicCopy> topics, 2: list<string> retained, 3: i64 retained_for_us
+}
 
 struct FleetEnvelope {
   1: optional Ping ping, 2: optional Ack ack,
--- a/foxtailreach/tests/dispatch/mirror_tests.py
+++ b/foxtailreach/tests/dispatch/mirror_tests.py
@@ -54,12 +54,12 @@
     assert set(topic.records) == {'a', 'c'}
 
 
-def test_change_after_a_drop_is_newer() -> None:
+def test_change_after_a_removal_by_replace_is_newer() -> None:
     topic = TopicMirror('t', classify)
     topic.replace([record('a', 0), record('b', 1)], 2)
-    assert topic.drop(['b'])
+    assert topic.replace([record('a', 0)], 3)
     version = topic.version
-    assert topic.fold([record('a', 2, b'w')], 3)
+    assert topic.fold([record('a', 3, b'w')], 4)
     assert topic.version > version
 
 
@@ -109,13 +109,13 @@
 
 
 def test_diverged_replica_gets_a_whole_copy() -> None:
-    """Two readers removed different targets after an outage."""
+    """Two readers got lists of the same offset with different targets."""
     first, second, other = mirror(), mirror(), mirror()
     listed = [record(key, index) for index, key in enumerate('abc')]
     for reader in (first, second):
         reader.topics['t'].replace(listed, 3)
-    first.topics['t'].drop(['a'])
-    second.topics['t'].drop(['b'])
+    first.topics['t'].replace([record('b', 1), record('c', 2)], 4)
+    second.topics['t'].replace([record('a', 0), record('c', 2)], 4)
     other.adopt(first.deltas_since(other.versions()))
     second.topics['t'].fold([record('c', 8, b'w')], 9)
     other.adopt(second.deltas_since(other.versions()))
@@ -131,3 +131,15 @@
     copy = reader.topics['t'].copy(3)
     assert copy.base_version == NO_VERSION
     assert len(copy.records) == 2
+
+
+def test_retained_target_ends_with_its_renewal() -> None:
+    """It was renewed after the outage, and then leaves by itself."""
+    retained = mirror().retained
+    retained.keep([record('a', 0), record('b', 1)], 2500)
+    retained.discard(['a', 'c'])
+    assert retained.keys == ('b',)
+    assert retained.remaining_us(500) == 2000
+    assert not retained.expire(2499)
+    assert retained.expire(2500) == ['b']
+    assert not retained.remaining_us(500)
--- a/foxtailreach/tests/platform/departed_targets_tests.py
+++ b/foxtailreach/tests/platform/departed_targets_tests.py
@@ -14,9 +14,13 @@
 from foxtailreach.core.dispatch.messages import (
     HostAnnounced,
     KeyedRecord,
+    StateCopy,
     StateNotice,
+    StatePull,
+    TopicVersion,
 )
 from foxtailreach.core.messages import HostEntry
+from foxtailreach.core.units import SECOND_US
 from foxtailreach.exceptions import PlatformUnavailableError
 from foxtailreach.gateway.peers import PeerEndpoint
 from foxtailreach.platform import feed as feed_module
@@ -155,9 +159,14 @@
         entry = HostEntry(name, 'north', '127.0.0.1', 2, capacity=1)
         self.node.update_hosts([HostAnnounced(entry, 1)], self.loop.now_us())
 
-    def receive_notice(self, sender: str) -> None:
+    def receive_notice(
+        self, sender: str, versions: tuple[TopicVersion, ...] = ()
+    ) -> None:
         """Tell the host that another one has read the store just now."""
-        notice = StateNotice((), 0, is_reading=True)
+        log_offset = len(self.store.log)
+        notice = StateNotice(
+            versions, 0, is_reading=True, log_offset=log_offset
+        )
         self.feed.handle_notice(sender, notice)
 
     async def used_s(self, target: int) -> float:
@@ -293,3 +302,39 @@
         return least
 
     assert run_reader(monkeypatch, measure) == TARGETS
+
+
+@pytest.mark.parametrize(
+    ('retained', 'used_s'),
+    [((), 0.5), (('t0',), RENEWAL_S)],
+    ids=['left', 'lapsed in an outage'],
+)
+def test_followers_use_removed_targets_as_their_reader_does(
+    retained: tuple[str, ...],
+    used_s: float,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A follower learns of a removal from a copy, not from the log."""
+    store = LoggedStore()
+    listed = [record for record in store.log if record.key == 't0']
+    source = records.create_mirror()
+    topic = source.topics[records.TARGETS_TOPIC]
+
+    async def pull_copy(address: object, pull: StatePull) -> StateCopy:
+        copies = source.deltas_since(pull.versions)
+        return StateCopy(copies, retained, int(RENEWAL_S * SECOND_US))
+
+    async def measure(reader: Reader) -> float:
+        reader.store.is_refusing = True
+        reader.add_host('h1')
+        topic.replace(listed, 1)
+        reader.receive_notice('h1', source.versions())
+        await asyncio.sleep(0.1)
+        assert 't0' in reader.listed
+        topic.fold([KeyedRecord('t0', b'', 1)], 2)
+        reader.receive_notice('h1', source.versions())
+        return await reader.used_s(0)
+
+    monkeypatch.setattr(feed_module, 'pull_state', pull_copy)
+    seen_s = run_reader(monkeypatch, measure)
+    assert used_s - 0.5 <= seen_s <= used_s + 0.5
