Send nothing to a target that the sending host knows as left

What callers saw: requests reached targets that had left (DRAIN), from hosts whose own state was 0.09 to 0.50 s old.

Cause: a grant carries the address of its target, and nothing compared it with the list of the host that sends, although the broker's list may be older: its domain has no reader, or a slower one; and a charge or a connection takes time after the grant. Class: a decision that is carried out later without being checked again by the one who carries it out.

Change: Upstream asks before it connects and again before it writes. The host's list decides if it is at least as new as the list of the grant, so a host that has not heard of a new target still sends. Such a request has not run; it gets another slot, and the broker pauses the target until its own list follows.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -51,7 +51,9 @@
 # Messages that one call of the state machine produces.
 Effects = list[messages.SendHost]
 
-_INCONCLUSIVE_OUTCOMES = frozenset((SendOutcome.ABANDONED, SendOutcome.SHED))
+_INCONCLUSIVE_OUTCOMES = frozenset(
+    (SendOutcome.ABANDONED, SendOutcome.SHED, SendOutcome.WITHHELD)
+)
 _FAILED_OUTCOMES = frozenset(
     (
         SendOutcome.FAILED,
@@ -221,7 +223,8 @@
             record.release(holder)
             if record.spec.started_ms == report.started_ms:
                 self._apply_report(record, host_id, report, now_us)
-        if lease is not None and not lease.is_repeat:
+        is_sent = report.outcome is not SendOutcome.WITHHELD
+        if lease is not None and is_sent and not lease.is_repeat:
             self._retry_budget.record_first_send(now_us)
         if report.outcome not in _INCONCLUSIVE_OUTCOMES:
             is_served = report.outcome not in _FAILED_OUTCOMES
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -25,8 +25,9 @@
 
     `FAILED` is a server error, `LOST` a broken connection or an invalid answer.
     After `SHED` (the target declined the request), `MISDIRECTED` (another
-    target has the address) and `UNREACHABLE` (no connection) the request has
-    not run. `ABANDONED` means that the sender cancelled the request.
+    target has the address), `UNREACHABLE` (no connection) and `WITHHELD` (the
+    sender knew that the target leaves) the request has not run. `ABANDONED`
+    means that the sender cancelled the request.
     """
 
     SERVED = 'served'
@@ -37,6 +38,7 @@
     MISDIRECTED = 'misdirected'
     TIMED_OUT = 'timed-out'
     ABANDONED = 'abandoned'
+    WITHHELD = 'withheld'
 
 
 class RefusalCause(enum.StrEnum):
--- a/foxtailreach/core/dispatch/target_record.py
+++ b/foxtailreach/core/dispatch/target_record.py
@@ -26,6 +26,9 @@
 # Consecutive requests that a target sheds before it is ejected.
 SHEDS_TO_EJECT = 3
 SHED_EJECTION_US = SECOND_US
+# The broker's own copy of the state follows within about this time when another
+# host knew first that a target leaves.
+WITHHELD_PAUSE_US = SECOND_US
 # A single host may have lost its own network path; if two hosts cannot connect,
 # the target is at fault.
 UNREACHABLE_HOSTS = 2
@@ -188,6 +191,8 @@
                 self._needs_warm_up = True
             case SendOutcome.SHED:
                 self._record_shed(now_us)
+            case SendOutcome.WITHHELD:
+                self.full_until_us = now_us + WITHHELD_PAUSE_US
             case SendOutcome.UNREACHABLE:
                 self._record_unreachable(host_id, now_us)
             case _:
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -90,7 +90,9 @@
         self._node = FleetNode.from_config(config, rng, boot_time_us())
         self._peers = PeerEndpoint(self._receive, self._node.announcement)
         self._router = MessageRouter(self._node, self._peers.send)
-        self._upstream = Upstream(options.header_names)
+        self._upstream = Upstream(
+            options.header_names, self._node.knows_as_left
+        )
         self._metrics = GatewayMetrics()
         self._routine_lines = logs.RoutineLineLimiter()
         self._log_writer = logs.configure(settings.host_id)
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -37,7 +37,7 @@
 )
 from foxtailreach.gateway.upstream import TargetAnswer, Upstream
 
-# Bound on attempts that failed before a byte was sent; `max_attempts` of a
+# Bound on attempts that ended before a byte was sent; `max_attempts` of a
 # route does not count them.
 MAX_UNSENT_ATTEMPTS = 3
 NOT_READY_RETRY_US = SECOND_US
@@ -57,6 +57,7 @@
 _MAY_HAVE_RUN = frozenset(
     (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.TIMED_OUT),
 )
+_UNSENT = frozenset((SendOutcome.UNREACHABLE, SendOutcome.WITHHELD))
 _NOT_ADMITTED = frozenset(
     (messages.Admission.REFUSED, messages.Admission.NOT_OWNER),
 )
@@ -70,7 +71,8 @@
     """A routed request and the state of its attempts.
 
     `sends` counts the attempts that were sent to a target, `unsent_attempts`
-    those that could not connect; `excluded` holds the targets of both.
+    those that could not connect or were withheld; `excluded` holds the targets
+    of both.
     """
 
     request: CallerRequest
@@ -398,7 +400,7 @@
             self._report(context, slot, attempt, requested_us)
         attempt.is_reused = answer.is_reused
         attempt.cause = answer.cause
-        if answer.outcome is SendOutcome.UNREACHABLE:
+        if answer.outcome in _UNSENT:
             context.unsent_attempts += 1
         else:
             context.sends += 1
@@ -464,7 +466,7 @@
 
     def _may_retry(self, context: RequestContext, answer: TargetAnswer) -> bool:
         match answer.outcome:
-            case SendOutcome.UNREACHABLE:
+            case SendOutcome.UNREACHABLE | SendOutcome.WITHHELD:
                 return context.unsent_attempts < MAX_UNSENT_ATTEMPTS
             case SendOutcome.SHED | SendOutcome.MISDIRECTED:
                 return context.sends < context.route.max_attempts
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -12,7 +12,7 @@
 import re
 import socket
 from collections import deque
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
@@ -52,6 +52,8 @@
 _SERVER_ERROR = 500
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
+HasLeft = Callable[[SlotGrant], bool]
+
 
 @dataclass(slots=True)
 class TargetAnswer:
@@ -253,11 +255,12 @@
 class Upstream:
     """Sends requests to targets over pooled connections."""
 
-    __slots__ = ('_header_names', '_idle', 'opened', 'reused')
+    __slots__ = ('_has_left', '_header_names', '_idle', 'opened', 'reused')
 
-    def __init__(self, header_names: HeaderNames) -> None:
-        """Create an empty pool."""
+    def __init__(self, header_names: HeaderNames, has_left: HasLeft) -> None:
+        """Create an empty pool; `has_left` tells which targets get nothing."""
         self._header_names = header_names
+        self._has_left = has_left
         self._idle: dict[tuple[str, int], deque[TargetConnection]] = {}
         self.opened = 0
         self.reused = 0
@@ -286,8 +289,11 @@
         """Send a request to the granted target and read its answer.
 
         Failures become outcomes of the answer. Cancellation closes the
-        connection.
+        connection. Nothing is sent if this host knows that the target leaves,
+        also if it learns so while the connection opens.
         """
+        if self._has_left(grant):
+            return TargetAnswer(SendOutcome.WITHHELD)
         now_us = boot_time_us()
         key = (grant.target_id, grant.started_ms)
         connection = self._take_idle_connection(
@@ -299,6 +305,9 @@
             if connection is None:
                 return TargetAnswer(SendOutcome.UNREACHABLE)
             self.opened += 1
+            if self._has_left(grant):
+                connection.close()
+                return TargetAnswer(SendOutcome.WITHHELD)
         self.reused += is_reused
         try:
             answer = await self._exchange(
--- a/foxtailreach/tests/gateway/leaving_target_tests.py
+++ b/foxtailreach/tests/gateway/leaving_target_tests.py
@@ -19,6 +19,7 @@
 )
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.dispatch.target_record import TargetRecord
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
@@ -33,6 +34,7 @@
     OK,
     reply_with,
     request,
+    send,
     target,
 )
 
@@ -151,7 +153,7 @@
             ]
             client = GrantingClient(slots)
             node = create_node(listed, version)
-            upstream = Upstream(HEADER_NAMES)
+            upstream = Upstream(HEADER_NAMES, node.knows_as_left)
             answer = await serve(node, client, upstream)
             upstream.close()
             assert answer.status == 200
@@ -159,3 +161,35 @@
             assert client.outcomes[-1] is SendOutcome.SERVED
 
     asyncio.run(scenario())
+
+
+def test_target_that_leaves_while_its_connection_opens_gets_nothing() -> None:
+    async def scenario() -> None:
+        received: list[int] = []
+
+        async def record_bytes(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            received.append(len(await reader.read()))
+
+        has_left = iter((False, True))
+        async with target(record_bytes) as (grant, accepted):
+            upstream = Upstream(HEADER_NAMES, lambda _: next(has_left))
+            answer = await send(upstream, grant, request())
+            upstream.close()
+            await asyncio.sleep(0.05)
+            assert answer.outcome is SendOutcome.WITHHELD
+            assert accepted == [1]
+            assert received == [0]
+
+    asyncio.run(scenario())
+
+
+def test_broker_stops_granting_a_target_that_a_host_knows_as_left() -> None:
+    record = TargetRecord(READY, SERVICE, 0)
+    record.record_outcome(
+        SendOutcome.WITHHELD, 'h1', SERVICE, SECOND_US, is_slow=False
+    )
+    assert not record.has_free_slot(SECOND_US + 1)
+    assert not record.last_failed_us
+    assert record.has_free_slot(2 * SECOND_US)
--- a/foxtailreach/tests/gateway/upstream_tests.py
+++ b/foxtailreach/tests/gateway/upstream_tests.py
@@ -225,7 +225,7 @@
     script, outcome, is_reusable = ANSWER_CASES[name]
 
     async def scenario() -> None:
-        upstream = Upstream(HEADER_NAMES)
+        upstream = Upstream(HEADER_NAMES, lambda grant: False)
         async with target(script) as (grant, _):
             answer = await send(upstream, grant, request())
             assert answer.outcome is outcome
@@ -241,7 +241,9 @@
     async def scenario() -> None:
         async with target(reply_with(OK)) as (grant, _):
             pass
-        answer = await send(Upstream(HEADER_NAMES), grant, request())
+        answer = await send(
+            Upstream(HEADER_NAMES, lambda grant: False), grant, request()
+        )
         assert answer.outcome is SendOutcome.UNREACHABLE
 
     asyncio.run(scenario())
@@ -264,7 +266,7 @@
         reset(writer)
 
     async def scenario() -> None:
-        upstream = Upstream(HEADER_NAMES)
+        upstream = Upstream(HEADER_NAMES, lambda grant: False)
         async with target(script) as (grant, accepted):
             first = await send(upstream, grant, request('r1', b'POST'))
             second = await send(upstream, grant, request('r1', b'POST'))
@@ -287,7 +289,9 @@
 
     async def scenario() -> None:
         async with target(script) as (grant, _):
-            await send(Upstream(HEADER_NAMES), grant, request())
+            await send(
+                Upstream(HEADER_NAMES, lambda grant: False), grant, request()
+            )
 
     asyncio.run(scenario())
     head = seen[0].lower()
@@ -314,7 +318,12 @@
 
         async with target(script) as (grant, _):
             sending = asyncio.ensure_future(
-                send(Upstream(HEADER_NAMES), grant, request(), 5)
+                send(
+                    Upstream(HEADER_NAMES, lambda grant: False),
+                    grant,
+                    request(),
+                    5,
+                )
             )
             await asyncio.sleep(0.05)
             sending.cancel()
@@ -340,7 +349,7 @@
 
     async def scenario() -> TargetAnswer:
         async with target(late_copy) as (grant, _):
-            upstream = Upstream(HEADER_NAMES)
+            upstream = Upstream(HEADER_NAMES, lambda grant: False)
             await send(upstream, grant, request('r1'))
             answer = await send(upstream, grant, request('r2'))
             upstream.close()
