Count a success only if it was sent after the last failure of its target

What callers saw: too many requests failed, so that the coverage floor applied (FLOOR), and most often at a target that had failed within the second before.

Cause: requests in flight while a target begins to fail still succeed, and their reports come after that of the failure. Each ended the ejection, and the target, now with the newest success, got most of the next requests. Class: evidence taken by when it arrived, not by when it was made.

The new test failed before.

Change: the send times are compared.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -438,6 +438,7 @@
             report.outcome,
             host_id,
             self._spec,
+            now_us - report.latency_us,
             now_us,
             is_slow=is_served and is_slow,
         )
--- a/foxtailreach/core/dispatch/target_record.py
+++ b/foxtailreach/core/dispatch/target_record.py
@@ -63,6 +63,7 @@
 
     __slots__ = (
         '_consecutive_sheds',
+        '_failed_send_us',
         '_needs_warm_up',
         '_unreachable_by_host',
         '_warm_up_bucket',
@@ -98,6 +99,8 @@
         self.is_evacuated = False
         self.is_tried = False
         self._consecutive_sheds = 0
+        # When the request that failed last was sent.
+        self._failed_send_us = 0
         self._needs_warm_up = False
         self._unreachable_by_host: dict[str, int] = {}
         self._warm_up_bucket = TokenBucket(
@@ -111,6 +114,7 @@
         if spec.started_ms != self.spec.started_ms:
             self.last_served_us = 0
             self.last_failed_us = 0
+            self._failed_send_us = 0
             self.ejected_until_us = 0
             self.granted.clear()
             self._unreachable_by_host.clear()
@@ -175,12 +179,20 @@
         outcome: SendOutcome,
         host_id: str,
         service: ServiceSpec,
+        sent_us: int,
         now_us: int,
         *,
         is_slow: bool,
     ) -> None:
-        """Update the evidence with the outcome of one request."""
+        """Update the evidence with the outcome of a request sent at `sent_us`.
+
+        A success counts only if it was sent after the last failed request:
+        requests in flight while a target begins to fail still succeed.
+        """
         self.is_tried = True
+        if outcome is SendOutcome.SERVED and sent_us < self._failed_send_us:
+            return
+        was_failed_us = self.last_failed_us
         match outcome:
             case SendOutcome.SERVED:
                 self._record_served(service, now_us, is_slow=is_slow)
@@ -197,12 +209,15 @@
                 self._record_unreachable(host_id, now_us)
             case _:
                 return
+        if self.last_failed_us > was_failed_us:
+            self._failed_send_us = max(self._failed_send_us, sent_us)
 
     def merge_evidence(self, last_served_us: int, last_failed_us: int) -> None:
         """Merge newer evidence that another broker gathered."""
         self.last_served_us = max(self.last_served_us, last_served_us)
         if last_failed_us > self.last_failed_us:
             self.last_failed_us = last_failed_us
+            self._failed_send_us = last_failed_us
             if last_failed_us > self.last_served_us:
                 until_us = last_failed_us + EJECTION_US
                 self.ejected_until_us = max(self.ejected_until_us, until_us)
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -13,7 +13,7 @@
 from foxtailreach.core.dispatch.deployment import RequestKind
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
 from foxtailreach.core.dispatch.placement import choose_target
-from foxtailreach.core.dispatch.target_record import TargetRecord
+from foxtailreach.core.dispatch.target_record import TargetRecord, TargetStatus
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.tests.dispatch.fixtures import (
     SERVICE,
@@ -482,3 +482,33 @@
         if sent_us > last_us - 2 * SECOND_US
     }
     assert len(in_use) >= used
+
+
+@pytest.mark.parametrize(
+    ('sent_after_us', 'is_used_again'),
+    [(-100 * MILLISECOND_US, False), (100 * MILLISECOND_US, True)],
+    ids=['sent before the failure', 'sent after it'],
+)
+def test_target_that_fails_gets_no_requests_by_an_older_success(
+    sent_after_us: int,
+    is_used_again: bool,  # noqa: FBT001
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request in flight while the target began to fail still succeeds."""
+    monkeypatch.setattr(cover, 'MIN_REQUESTS_PER_TARGET', 1000)
+    broker = create_broker(1, slots=4)
+    failed_us = START_US + SECOND_US
+    sends = {1: failed_us, 2: failed_us + sent_after_us}
+    sent = {
+        ask_id: grants(
+            broker.request_slot('h1', 'd1', slot_request(ask_id), sent_us)
+        )[0]
+        for ask_id, sent_us in sorted(sends.items(), key=lambda pair: pair[1])
+    }
+    failure = slot_report(sent[1], SendOutcome.FAILED, MILLISECOND_US)
+    broker.report('h1', failure, failed_us + MILLISECOND_US)
+    latency_us = 250 * MILLISECOND_US
+    ended_us = sends[2] + latency_us
+    broker.report('h1', slot_report(sent[2], latency_us=latency_us), ended_us)
+    status = broker.records['t0'].status(ended_us + 1, latency_us)
+    assert (status is TargetStatus.PROVEN) == is_used_again
--- a/foxtailreach/tests/gateway/leaving_target_tests.py
+++ b/foxtailreach/tests/gateway/leaving_target_tests.py
@@ -188,7 +188,7 @@
 def test_broker_stops_granting_a_target_that_a_host_knows_as_left() -> None:
     record = TargetRecord(READY, SERVICE, 0)
     record.record_outcome(
-        SendOutcome.WITHHELD, 'h1', SERVICE, SECOND_US, is_slow=False
+        SendOutcome.WITHHELD, 'h1', SERVICE, 0, SECOND_US, is_slow=False
     )
     assert not record.has_free_slot(SECOND_US + 1)
     assert not record.last_failed_us
