Leave no target idle that may be healthy while requests are ample

What callers saw: while many requests failed, a third of the healthy targets of a service got nothing for 2 s and more (FLOOR).

Cause: the broker keeps an expected share of all healthy targets in use. When cut links disturb most of them, the floor holds for the few others alone, and among these the share is left to chance. A target whose last request succeeded became less likely to get one the longer it went without. Class: a promise for each part kept only for the whole.

Change: with 3.5 requests a target in the window of 1.5 s, each idle target gets a request after 1.8 s if its last one was served, 2 s after a single error and 6 s after another failure. With fewer requests a share is kept as before, a single error counting as unproven.

--- a/foxtailreach/core/dispatch/cover.py
+++ b/foxtailreach/core/dispatch/cover.py
@@ -7,7 +7,9 @@
 That is too short to probe the others, so they are probed at all times: as few
 as the floor needs while nothing fails, and more as soon as failures rise.
 Health is not observable; each target counts with its probability of being
-healthy.
+healthy. That holds for all targets together, not for those alone that a fault
+of links or of other targets leaves undisturbed. So while requests are ample, no
+target that may be healthy stays idle for longer than `IN_USE_WINDOW_US`.
 """
 
 from __future__ import annotations
@@ -47,6 +49,12 @@
 # Nearly all failure periods have ended this long after a failure; they last
 # 2.7 s on average.
 FAILURE_PERIOD_END_US = 4 * SECOND_US
+# With this many requests per target in the window, each target that may be
+# healthy gets one, so that the floor holds among any part of them too.
+AMPLE_REQUESTS_PER_TARGET = 3.5
+# A failure that follows a success this closely is mostly a single error, not
+# the begin of a failure period.
+SINGLE_ERROR_WITHIN_US = 500 * MILLISECOND_US
 # Initial estimate: 0.3 of the targets fail at any time.
 INITIAL_PROBE_SUCCESS = 0.7
 # Weight of a new probe in the moving average: about the last 20 probes count.
@@ -59,10 +67,11 @@
 
     `margin` is in standard errors; `unproven_probability` is the probability
     that a target without fresh evidence is healthy; `is_failing` tells that
-    many requests fail.
+    many requests fail, `is_ample` that there are enough for all targets.
     """
 
     is_needed: bool = False
+    is_ample: bool = False
     margin: float = 0
     unproven_probability: float = INITIAL_PROBE_SUCCESS**2
     is_failing: bool = False
@@ -111,6 +120,7 @@
         margin = MARGIN_PER_UNSERVED_SHARE * unserved_share
         return CoverageDemand(
             is_needed=True,
+            is_ample=count >= AMPLE_REQUESTS_PER_TARGET * targets,
             margin=min(MAX_MARGIN, max(MIN_MARGIN, margin)),
             # A healthy target succeeds now and did so a while ago.
             unproven_probability=self._probe_success_rate**2,
@@ -127,7 +137,8 @@
 ) -> list[TargetRecord]:
     """List the targets that need a request, the likeliest healthy ones first.
 
-    Return an empty list while enough of the healthy targets are in use. For a
+    While requests are ample, these are all that may be healthy. Otherwise
+    return an empty list while enough of the healthy targets are in use. For a
     probe that is all of them: it costs only a retry, keeps the evidence fresh,
     and a loss of hosts leaves no time to widen the use.
     """
@@ -146,7 +157,7 @@
     total = sum(probability for probability, _ in probabilities)
     used = total - sum(probability for probability, _ in idle)
     if not is_probe and used >= _required_share(total, demand) * total:
-        return []
+        idle = [pair for pair in idle if _is_due(pair[1], demand, now_us)]
     idle.sort(
         key=lambda pair: (
             pair[0],
@@ -173,7 +184,7 @@
 
     It is 0 for `HEALTHY_AFTER_US` after a failure. Without a success since
     then, it rises linearly to `unproven_probability` within a further
-    `FAILURE_PERIOD_END_US`.
+    `FAILURE_PERIOD_END_US`, after a single error at once.
     """
     failed_age_us = now_us - record.last_failed_us
     if failed_age_us < HEALTHY_AFTER_US:
@@ -182,10 +193,29 @@
         return 1
     if record.last_served_us > record.last_failed_us:
         return demand.unproven_probability
+    if _is_single_error(record):
+        return demand.unproven_probability
     ended_share = (failed_age_us - HEALTHY_AFTER_US) / FAILURE_PERIOD_END_US
     return min(1, ended_share) * demand.unproven_probability
 
 
+def _is_due(record: TargetRecord, demand: CoverageDemand, now_us: int) -> bool:
+    """Tell whether an idle target gets a request as long as these are ample."""
+    if not demand.is_ample:
+        return False
+    if record.last_served_us > record.last_failed_us:
+        return True
+    if _is_single_error(record):
+        return True
+    failed_age_us = now_us - record.last_failed_us
+    return failed_age_us >= HEALTHY_AFTER_US + FAILURE_PERIOD_END_US
+
+
+def _is_single_error(record: TargetRecord) -> bool:
+    evidence_age_us = record.last_failed_us - record.last_served_us
+    return 0 <= evidence_age_us < SINGLE_ERROR_WITHIN_US
+
+
 def _required_share(healthy: float, demand: CoverageDemand) -> float:
     """Return the floor plus a margin for the error of the estimate.
 
--- a/foxtailreach/tests/dispatch/cover_tests.py
+++ b/foxtailreach/tests/dispatch/cover_tests.py
@@ -24,6 +24,17 @@
 )
 BUSY = FailureLoad(requests_per_s=41)
 LARGE = FailureLoad(targets=80, requests_per_s=180)
+# A service behind 110 hosts: requests that run once, 4 a second and target.
+GROWN = FailureLoad(
+    targets=85,
+    slots=4,
+    requests_per_s=336,
+    mean_healthy_s=8.4,
+    mean_failing_s=3.6,
+    failing_share=0.75,
+    mean_latency_ms=240,
+    requests=6000,
+)
 REPEATABLE = FailureLoad(targets=9, requests_per_s=16, is_repeatable=True)
 
 
@@ -90,3 +101,12 @@
         for seed in range(4)
     ]
     assert statistics.mean(violations) <= 0.005
+
+
+def test_few_undisturbed_targets_go_without_requests() -> None:
+    """On a day with cut links, 16 of 85 targets counted, 5 of them unused.
+
+    A disturbance fails requests at once, so coverage has to hold before.
+    """
+    uncovered = [replay(GROWN, seed).uncovered_share(16) for seed in range(2)]
+    assert statistics.mean(uncovered) <= 0.005
--- a/foxtailreach/tests/dispatch/load_replay.py
+++ b/foxtailreach/tests/dispatch/load_replay.py
@@ -118,6 +118,32 @@
             end_s += WINDOW_STEP_S
         return violations / windows
 
+    def uncovered_share(self, counted_targets: int) -> float:
+        """Return the share of windows with too few healthy targets in use.
+
+        Of the healthy targets, `counted_targets` drawn at random count; whether
+        requests fail does not.
+        """
+        rng = random.Random(counted_targets)
+        windows = uncovered = 0
+        end_s = EVIDENCE_READY_S
+        while end_s < self.sends[-1].at_s:
+            healthy = healthy_targets(self.failure_periods, end_s)
+            counted = rng.sample(healthy, min(counted_targets, len(healthy)))
+            used = self._used(end_s).intersection(counted)
+            windows += 1
+            uncovered += len(used) < FLOOR_SHARE * len(counted)
+            end_s += WINDOW_STEP_S / 5
+        return uncovered / windows
+
+    def _used(self, end_s: float) -> set[int]:
+        """Return the targets that got a request in a window."""
+        return {
+            send.target
+            for send in self.sends
+            if end_s - WINDOW_S <= send.at_s < end_s
+        }
+
     def _violates_floor(
         self,
         end_s: float,
@@ -131,7 +157,7 @@
         if not window or not healthy:
             return False
         healthy = rng.sample(healthy, min(counted_targets, len(healthy)))
-        used = {send.target for send in window}
+        used = self._used(end_s)
         failed_share = sum(send.is_failed for send in window) / len(window)
         return violates_floor(healthy, used, failed_share)
 
