Stop the host of a test once it has answered a request

SIGTERM now follows the first answer, and one of the requests still in flight must be served: as strict, and without a clock.

--- a/foxtailreach/tests/commands/serve_tests.py
+++ b/foxtailreach/tests/commands/serve_tests.py
@@ -187,11 +187,14 @@
     in_flight = [
         asyncio.ensure_future(fetch(client, first)) for _ in range(REQUESTS)
     ]
-    await asyncio.sleep(SERVICE_MS / 4000)
+    # The host has read requests as soon as it has answered one.
+    _, at_work = await asyncio.wait(
+        in_flight, return_when=asyncio.FIRST_COMPLETED
+    )
     process, _ = processes.hosts[first]
     process.send_signal(signal.SIGTERM)
     codes = []
-    for reply in await asyncio.gather(*in_flight):
+    for reply in await asyncio.gather(*at_work):
         assert reply is not None
         codes.append(reply.code)
         if reply.code != 200:
