Soak real host processes with overlapping series of faults

Callers keep their connections while hosts are stopped, killed, paused and reloaded, keys and targets come and go, and the store refuses calls or is away, in three series at once. Checked from what callers and targets see: MIXED, TWICE, REFUSED, DRAIN, withdrawn keys, requests cut off by a planned stop, recovery.

--- a/foxtailreach/tests/conftest.py
+++ b/foxtailreach/tests/conftest.py
@@ -21,6 +21,13 @@
 hypothesis.settings.load_profile('ci')
 
 
+def pytest_addoption(parser: pytest.Parser) -> None:
+    """Add the size of the soak; 0 seeds means those of CI."""
+    parser.addoption('--soak-seeds', type=int, default=0)
+    parser.addoption('--soak-hosts', type=int, default=5)
+    parser.addoption('--soak-seconds', type=float, default=12)
+
+
 def pytest_collection_modifyitems(
     config: pytest.Config,
     items: list[pytest.Item],
--- a/foxtailreach/tests/platform/fakes.py
+++ b/foxtailreach/tests/platform/fakes.py
@@ -22,13 +22,14 @@
     """In-memory store of keyed topics with one partition.
 
     `first_offsets` are the oldest offsets that are not trimmed; `calls` are
-    the names of the calls so far.
+    the names of the calls so far. The next `refusals_left` calls are refused.
     """
 
     def __init__(self) -> None:
         self.topics: dict[str, list[tuple[str, bytes]]] = defaultdict(list)
         self.first_offsets: dict[str, int] = defaultdict(int)
         self.is_down = False
+        self.refusals_left = 0
         self.calls: list[str] = []
         self._changed = asyncio.Condition()
         sock, self.port = bind_unused_port()
@@ -89,7 +90,9 @@
 
     def prepare(self) -> None:
         self.store.calls.append(self.request.path.rpartition('/')[2])
-        if self.store.is_down:
+        is_refused = self.store.refusals_left > 0
+        self.store.refusals_left -= is_refused
+        if self.store.is_down or is_refused:
             self.send_error(503)
 
     async def get(self, call: str) -> None:
@@ -134,6 +137,7 @@
     customer: str
     headers: dict[str, str]
     body: bytes
+    at_s: float = 0
 
 
 @dataclass(slots=True)
@@ -187,6 +191,7 @@
                 headers.get('X-Foxtailreach-Tenant-Id', ''),
                 headers,
                 self.request.body,
+                asyncio.get_running_loop().time(),
             ),
         )
         await asyncio.sleep(self.target.delay_s)
