Retain no target that this host still lists

A late page could retain a target whose newer entry is known. The new case of the test failed before.

--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -405,10 +405,17 @@
         copy = await pull_state(address, pull)
         if copy is None:
             return False
-        known = self.mirror.topics[records.TARGETS_TOPIC].records
-        retained = [known[key] for key in copy.retained if key in known]
+        topic = self.mirror.topics[records.TARGETS_TOPIC]
+        known = {
+            key: topic.records[key]
+            for key in copy.retained
+            if key in topic.records
+        }
         is_changed = self.mirror.adopt(copy.topics)
-        self._retain(retained, copy.retained_for_us)
+        removed = [
+            record for key, record in known.items() if key not in topic.records
+        ]
+        self._retain(removed, copy.retained_for_us)
         return is_changed
 
     def _apply_state(self) -> None:
@@ -472,7 +479,9 @@
     return [
         record.key
         for record in newest.values()
-        if not record.payload and record.key in topic.records
+        if not record.payload
+        and record.key in topic.records
+        and record.offset > topic.records[record.key].offset
     ]
 
 
--- a/foxtailreach/tests/platform/departed_targets_tests.py
+++ b/foxtailreach/tests/platform/departed_targets_tests.py
@@ -305,12 +305,18 @@
 
 
 @pytest.mark.parametrize(
-    ('retained', 'used_s'),
-    [((), 0.5), (('t0',), RENEWAL_S)],
-    ids=['left', 'lapsed in an outage'],
+    ('retained', 'retained_later', 'used_s'),
+    [
+        ((), (), 0.5),
+        ((), ('t0',), RENEWAL_S),
+        # An older copy names a target that this host still lists.
+        (('t0',), (), 0.5),
+    ],
+    ids=['left', 'lapsed in an outage', 'renewed, then left'],
 )
 def test_followers_use_removed_targets_as_their_reader_does(
     retained: tuple[str, ...],
+    retained_later: tuple[str, ...],
     used_s: float,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -322,7 +328,9 @@
 
     async def pull_copy(address: object, pull: StatePull) -> StateCopy:
         copies = source.deltas_since(pull.versions)
-        return StateCopy(copies, retained, int(RENEWAL_S * SECOND_US))
+        is_left = 't0' not in topic.records
+        keys = retained_later if is_left else retained
+        return StateCopy(copies, keys, int(RENEWAL_S * SECOND_US))
 
     async def measure(reader: Reader) -> float:
         reader.store.is_refusing = True
@@ -331,6 +339,10 @@
         reader.receive_notice('h1', source.versions())
         await asyncio.sleep(0.1)
         assert 't0' in reader.listed
+        # The sender's version is newer, but not its list.
+        newer = (TopicVersion(records.TARGETS_TOPIC, 9),)
+        reader.receive_notice('h1', newer)
+        await asyncio.sleep(0.1)
         topic.fold([KeyedRecord('t0', b'', 1)], 2)
         reader.receive_notice('h1', source.versions())
         return await reader.used_s(0)
