--- a/foxtailreach/tests/platform/soak.py
+++ b/foxtailreach/tests/platform/soak.py
@@ -334,6 +334,10 @@
             await self._put(target, target.entry('draining'))
 
     async def _remove_target(self) -> None:
+        """Remove a target, at times shortly after a host was refused."""
+        if self.rng.random() < 0.5:
+            await self._refuse_calls()
+            await asyncio.sleep(self.rng.uniform(0.3, 1.2))
         target = self._leaving_target()
         if target is not None:
             await self._put(target, None)
