Send a message that frees a slot twice

What callers saw: healthy targets without requests while others failed (FLOOR).

Cause: reports of hosts are datagrams. If one was lost, its slot stayed taken until the lease expired. Meanwhile the target counted as overdue, that is ejected, and the coverage passes over targets with a request in flight. Class: state that one lost message leaves wrong until a time-out.

The new test failed before.

Change: reports and withdrawals go to the broker twice, 0.1 s apart; a second copy changes nothing.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -93,12 +93,20 @@
     is_repeat: bool
 
 
+@dataclass(slots=True, frozen=True)
+class EndedRequest:
+    """When a request was reported or withdrawn, and whether reported."""
+
+    ended_us: int
+    is_reported: bool
+
+
 class Broker:
     """State machine that grants the slots of one service's targets."""
 
     __slots__ = (
         '_crashes',
-        '_ended_us',
+        '_ended',
         '_leases',
         '_mean_service_us',
         '_outcomes',
@@ -128,7 +136,7 @@
         self._outcomes = RecentOutcomes()
         self._leases: dict[Holder, Lease] = {}
         # Requests that were reported or withdrawn, the oldest first.
-        self._ended_us: dict[Holder, int] = {}
+        self._ended: dict[Holder, EndedRequest] = {}
         self._crashes = CrashTracker(CRASHES_TO_QUARANTINE, CRASH_WINDOW_US)
 
     def set_standing(self, standing: Standing) -> None:
@@ -187,7 +195,7 @@
             return [messages.SendHost(host_id, known.grant)]
         if holder in self._queue:
             return [self._queued_reply(host_id, request)]
-        if holder in self._ended_us:
+        if holder in self._ended:
             # A late copy of a message must not take another slot.
             return []
         if self._crashes.is_quarantined(request.fingerprint):
@@ -214,10 +222,15 @@
         report: messages.SlotReport,
         now_us: int,
     ) -> Effects:
-        """Release the slot of a request and record its outcome."""
+        """Release the slot of a request and record its outcome.
+
+        A second copy of the report changes nothing.
+        """
         holder = (host_id, report.ask_id)
+        if holder in self._ended and self._ended[holder].is_reported:
+            return []
         lease = self._leases.pop(holder, None)
-        self._ended_us[holder] = now_us
+        self._ended[holder] = EndedRequest(now_us, is_reported=True)
         record = self.records.get(report.target_id)
         if record is not None:
             record.release(holder)
@@ -237,7 +250,9 @@
     def cancel(self, host_id: str, ask_id: int, now_us: int) -> Effects:
         """Remove a request from the queue or release its slot."""
         self._queue.remove(host_id, ask_id)
-        self._ended_us[host_id, ask_id] = now_us
+        holder = (host_id, ask_id)
+        if holder not in self._ended:
+            self._ended[holder] = EndedRequest(now_us, is_reported=False)
         self._release(host_id, ask_id)
         return self._serve_queue(now_us)
 
@@ -311,10 +326,10 @@
         return [*new_effects, *self._serve_queue(now_us)]
 
     def _forget_ended(self, now_us: int) -> None:
-        for holder, ended_us in list(self._ended_us.items()):
-            if now_us - ended_us < REMEMBER_ENDED_US:
+        for holder, ended in list(self._ended.items()):
+            if now_us - ended.ended_us < REMEMBER_ENDED_US:
                 return
-            self._ended_us.pop(holder)
+            self._ended.pop(holder)
 
     def _admit(
         self,
--- a/foxtailreach/gateway/fleet_client.py
+++ b/foxtailreach/gateway/fleet_client.py
@@ -26,6 +26,7 @@
 # a message.
 QUEUED_RESEND_INTERVAL_S = 0.3
 MAX_HOSTS_ASKED = 2
+SECOND_COPY_DELAY_S = 0.1
 # The hosts that hold a meter change when one is lost, which takes up to 1.6 s
 # to detect; a charge is tried again at this interval for this long.
 METER_RETRY_INTERVAL_S = 0.15
@@ -170,7 +171,7 @@
 
     def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
         """Release a slot; report its outcome to the next broker in rank too."""
-        self._send(slot.broker, report)
+        self._send_again(slot.broker, report)
         ranked = self._node.broker_hosts(report.service_name, boot_time_us())
         for host_id in ranked[:2]:
             if host_id != slot.broker:
@@ -203,7 +204,7 @@
                     request.ask_id,
                     request.service_name,
                 )
-                self._send(host_id, cancel)
+                self._send_again(host_id, cancel)
         return reply
 
     async def _ask_until_decided(
@@ -282,6 +283,19 @@
             reply = await _next_reply(queue, REPLY_TIMEOUT_S - RESEND_DELAY_S)
         return reply
 
+    def _send_again(
+        self, host_id: str, message: messages.SlotReport | messages.SlotCancel
+    ) -> None:
+        """Send a message that frees a slot twice.
+
+        If it were lost, the slot would stay taken until its lease expires, and
+        its target would count as overdue.
+        """
+        self._send(host_id, message)
+        asyncio.get_running_loop().call_later(
+            SECOND_COPY_DELAY_S, self._send, host_id, message
+        )
+
     def _brokers_to_ask(self, service: str) -> list[str]:
         now_us = boot_time_us()
         if self._node.is_isolated(now_us):
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -512,3 +512,31 @@
     broker.report('h1', slot_report(sent[2], latency_us=latency_us), ended_us)
     status = broker.records['t0'].status(ended_us + 1, latency_us)
     assert (status is TargetStatus.PROVEN) == is_used_again
+
+
+def test_second_copy_of_a_report_counts_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A report is sent twice, as the first may be lost."""
+    monkeypatch.setattr(cover, 'MIN_REQUESTS_PER_TARGET', 1000)
+    broker = create_broker(1)
+    request = slot_request(1)
+    grant = grants(broker.request_slot('h1', 'd1', request, START_US))[0]
+    failed_us = START_US + MILLISECOND_US
+    failure = slot_report(grant, SendOutcome.FAILED, MILLISECOND_US)
+    broker.report('h1', failure, failed_us)
+    broker.report('h1', failure, failed_us + 100 * MILLISECOND_US)
+    record = broker.records['t0']
+    assert record.last_failed_us == failed_us
+    assert not record.granted
+
+
+def test_report_counts_after_its_request_was_withdrawn_elsewhere() -> None:
+    """The host asked the next broker, which granted the slot."""
+    broker = create_broker(1)
+    grant = grants(
+        create_broker(1).request_slot('h1', 'd1', slot_request(1), START_US)
+    )[0]
+    broker.cancel('h1', grant.ask_id, START_US)
+    broker.report('h1', slot_report(grant), START_US + SECOND_US)
+    assert broker.records['t0'].last_served_us == START_US + SECOND_US
--- a/foxtailreach/tests/gateway/fleet_client_tests.py
+++ b/foxtailreach/tests/gateway/fleet_client_tests.py
@@ -7,10 +7,16 @@
 import pytest
 
 from foxtailreach.core.dispatch.deployment import CustomerSpec
-from foxtailreach.core.dispatch.messages import Admission
+from foxtailreach.core.dispatch.messages import Admission, SlotReport
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.gateway import fleet_client
-from foxtailreach.tests.dispatch.fixtures import START_US
+from foxtailreach.tests.dispatch.fixtures import (
+    START_US,
+    create_broker,
+    grants,
+    slot_report,
+    slot_request,
+)
 from foxtailreach.tests.dispatch.fleet_tests import create_fleet
 
 
@@ -31,3 +37,31 @@
     customer = CustomerSpec('c', rate_per_s=1, burst_requests=9)
     charge = asyncio.run(client.charge(customer, now_us + SECOND_US))
     assert charge.admission is admission
+
+
+def test_lost_report_does_not_keep_a_slot_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its target would count as overdue until the lease expires."""
+    monkeypatch.setattr(fleet_client, 'boot_time_us', lambda: START_US)
+    broker = create_broker(1)
+    grant = grants(broker.request_slot('h1', 'd1', slot_request(1), START_US))[
+        0
+    ]
+    sent: list[SlotReport] = []
+
+    def lose_first(host_id: str, message: object) -> None:
+        assert isinstance(message, SlotReport)
+        if host_id == 'h2':
+            sent.append(message)
+            if len(sent) > 1:
+                broker.report('h1', message, START_US + SECOND_US)
+
+    async def scenario() -> None:
+        client = fleet_client.FleetClient(create_fleet()['h1'], lose_first)
+        slot = fleet_client.GrantedSlot(grant, 'h2')
+        client.report(slot, slot_report(grant))
+        await asyncio.sleep(0.2)
+
+    asyncio.run(scenario())
+    assert not broker.records['t0'].granted
