Eject no target for a slow answer when it has been fast since

Cause: a slow answer ejected its target for 2 s from its end, also if requests that were sent later had been served in time. Same class as older successes: evidence taken by when it arrived.

The new test failed before.

--- a/foxtailreach/core/dispatch/target_record.py
+++ b/foxtailreach/core/dispatch/target_record.py
@@ -65,6 +65,7 @@
         '_consecutive_sheds',
         '_failed_send_us',
         '_needs_warm_up',
+        '_served_send_us',
         '_unreachable_by_host',
         '_warm_up_bucket',
         'ejected_until_us',
@@ -101,6 +102,8 @@
         self._consecutive_sheds = 0
         # When the request that failed last was sent.
         self._failed_send_us = 0
+        # When the newest request that was served in time was sent.
+        self._served_send_us = 0
         self._needs_warm_up = False
         self._unreachable_by_host: dict[str, int] = {}
         self._warm_up_bucket = TokenBucket(
@@ -115,6 +118,7 @@
             self.last_served_us = 0
             self.last_failed_us = 0
             self._failed_send_us = 0
+            self._served_send_us = 0
             self.ejected_until_us = 0
             self.granted.clear()
             self._unreachable_by_host.clear()
@@ -195,7 +199,7 @@
         was_failed_us = self.last_failed_us
         match outcome:
             case SendOutcome.SERVED:
-                self._record_served(service, now_us, is_slow=is_slow)
+                self._record_served(service, sent_us, now_us, is_slow=is_slow)
             case SendOutcome.FAILED | SendOutcome.TIMED_OUT:
                 self._eject(now_us, EJECTION_US)
             case SendOutcome.LOST | SendOutcome.MISDIRECTED:
@@ -226,6 +230,7 @@
     def _record_served(
         self,
         service: ServiceSpec,
+        sent_us: int,
         now_us: int,
         *,
         is_slow: bool,
@@ -236,8 +241,11 @@
             self._needs_warm_up = False
             self.start_warm_up(now_us, service.warm_up_us)
         if is_slow and not self.is_warming_up(now_us):
-            self._eject(now_us, SHORT_EJECTION_US)
+            # Unless a request that was sent later has been served in time.
+            if sent_us > self._served_send_us:
+                self._eject(now_us, SHORT_EJECTION_US)
             return
+        self._served_send_us = max(self._served_send_us, sent_us)
         self.last_served_us = now_us
         self.ejected_until_us = min(self.ejected_until_us, now_us)
 
--- a/foxtailreach/tests/dispatch/broker_tests.py
+++ b/foxtailreach/tests/dispatch/broker_tests.py
@@ -540,3 +540,36 @@
     broker.cancel('h1', grant.ask_id, START_US)
     broker.report('h1', slot_report(grant), START_US + SECOND_US)
     assert broker.records['t0'].last_served_us == START_US + SECOND_US
+
+
+@pytest.mark.parametrize(
+    ('other_sent_us', 'is_ejected'),
+    [(-SECOND_US, True), (SECOND_US, False)],
+    ids=['served before', 'served since'],
+)
+def test_slow_answer_ejects_no_target_that_was_fast_since(
+    other_sent_us: int,
+    is_ejected: bool,  # noqa: FBT001
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The slow request was sent earlier than the fast one."""
+    monkeypatch.setattr(cover, 'MIN_REQUESTS_PER_TARGET', 1000)
+    record = TargetRecord(spec(0), SERVICE, START_US)
+    slow_sent_us = START_US + 2 * SECOND_US
+    latency_us = 200 * MILLISECOND_US
+    fast_sent_us = slow_sent_us + other_sent_us
+    slow_ended_us = slow_sent_us + 1900 * MILLISECOND_US
+    for sent_us, ended_us, is_slow in (
+        (fast_sent_us, fast_sent_us + latency_us, False),
+        (slow_sent_us, slow_ended_us, True),
+    ):
+        record.record_outcome(
+            SendOutcome.SERVED,
+            'h1',
+            SERVICE,
+            sent_us,
+            ended_us,
+            is_slow=is_slow,
+        )
+    status = record.status(slow_ended_us + 1, latency_us)
+    assert (status is TargetStatus.EJECTED) == is_ejected
