--- a/foxtailreach/gateway/fleet_client.py
+++ b/foxtailreach/gateway/fleet_client.py
@@ -171,7 +171,7 @@
 
     def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
         """Release a slot; report its outcome to the next broker in rank too."""
-        self._send_again(slot.broker, report)
+        self._send_twice(slot.broker, report)
         ranked = self._node.broker_hosts(report.service_name, boot_time_us())
         for host_id in ranked[:2]:
             if host_id != slot.broker:
@@ -204,7 +204,7 @@
                     request.ask_id,
                     request.service_name,
                 )
-                self._send_again(host_id, cancel)
+                self._send_twice(host_id, cancel)
         return reply
 
     async def _ask_until_decided(
@@ -283,7 +283,7 @@
             reply = await _next_reply(queue, REPLY_TIMEOUT_S - RESEND_DELAY_S)
         return reply
 
-    def _send_again(
+    def _send_twice(
         self, host_id: str, message: messages.SlotReport | messages.SlotCancel
     ) -> None:
         """Send a message that frees a slot twice.
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -80,6 +80,8 @@
         self.last_read_us = 0
         self._is_store_up = True
         self._outages = OutageDetector(settings.target_heartbeat_us)
+        # Until when targets renew entries that expired in the last outage, and
+        # the end of the log at the first read after it.
         self._renewal_end_us = 0
         self._returned_offset = 0
         self._settings = settings
