--- a/foxtailreach/tests/platform/soak.py
+++ b/foxtailreach/tests/platform/soak.py
@@ -65,6 +65,7 @@
     busy: set[str] = field(default_factory=set)
     disturbed: list[tuple[str, float, float]] = field(default_factory=list)
     stops: list[tuple[str, float]] = field(default_factory=list)
+    kills: list[tuple[str, float]] = field(default_factory=list)
     left_s: dict[str, float] = field(default_factory=dict)
     withdrawn: list[tuple[float, float]] = field(default_factory=list)
     version: int = 1
@@ -242,7 +243,12 @@
             return
         for host, at_s in self.stops:
             is_before = at_s - 1 < sent.at_s < at_s - READ_S
-            if host == sent.host and is_before:
+            # A kill shortly before the stop of the next process cuts it off.
+            was_killed = any(
+                killed == host and sent.at_s <= killed_s < at_s
+                for killed, killed_s in self.kills
+            )
+            if host == sent.host and is_before and not was_killed:
                 self.violations.append(f'LOST: {sent}')
 
     def _take_host(self) -> str | None:
@@ -277,6 +283,7 @@
             return
         since_s = self.now_s()
         process = self.fleet.processes[host]
+        self.kills.append((host, since_s))
         process.kill()
         await process.wait()
         await asyncio.sleep(self.rng.uniform(0, 2))
