Bound the time until each host uses a configuration

Cause: a host knew only that it had heard of no newer configuration, not until when. A poll that met the outage hid the return for 2.5 s, its late failure counted against the reader although later calls were answered, and hosts waited for a lost or deaf reader for 1.5 s and more. Class: absence of news taken for news of absence.

Change: each notice and copy says how long ago its sender knew of all changes. A poll is given up when a later call is answered; a failure counts by the time of its call. Pulls from one host no longer hold up those from others. A line 'configuration N is in force' has its source and the most that it can be late.

--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -255,6 +255,21 @@
             if host_id != self.host_id and self.membership.is_usable(host_id)
         ]
 
+    def coordinators_elsewhere(self) -> list[str]:
+        """List the usable coordinators of the other failure domains."""
+        return [
+            host_id
+            for domain, host_ids in self._coordinators.by_domain().items()
+            for host_id in host_ids
+            if domain != self._config.entry.domain
+            and self.membership.is_usable(host_id)
+        ]
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this host is a coordinator of its failure domain."""
+        return self._coordinators.includes_this_host
+
     def cut_off_domains(self, now_us: int) -> frozenset[str]:
         """Return the failure domains that are out of contact."""
         return self._reach.contact.cut_off(now_us)
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -259,7 +259,8 @@
     `age_us` is -1 if the state was never read; `is_reading` tells that the
     sender reads the platform. `cut_off` are the failure domains from which
     the sender has heard nothing for too long. The sender has read the log of
-    targets up to `log_offset`; -1 if it does not read it.
+    targets up to `log_offset`; -1 if it does not read it. It has known of all
+    changes of the configuration `confirmed_age_us` ago; -1 if never.
     """
 
     versions: tuple[TopicVersion, ...]
@@ -267,6 +268,7 @@
     is_reading: bool
     cut_off: tuple[str, ...] = ()
     log_offset: int = -1
+    confirmed_age_us: int = -1
 
 
 @dataclass(slots=True, frozen=True)
@@ -307,12 +309,15 @@
     """Answers a `StatePull`.
 
     The targets `retained` may have expired in an outage of the store; they are
-    used for `retained_for_us` more unless they are renewed.
+    used for `retained_for_us` more unless they are renewed. The sender has
+    known of all changes of the configuration `confirmed_age_us` ago; -1 if
+    never.
     """
 
     topics: tuple[TopicCopy, ...]
     retained: tuple[str, ...] = ()
     retained_for_us: int = 0
+    confirmed_age_us: int = -1
 
 
 FleetMessage = (
--- a/foxtailreach/core/dispatch/mirror.py
+++ b/foxtailreach/core/dispatch/mirror.py
@@ -17,6 +17,7 @@
 
 import xxhash
 
+from foxtailreach.core.dispatch.freshness import Freshness
 from foxtailreach.core.dispatch.messages import (
     KeyedRecord,
     TopicCopy,
@@ -237,15 +238,18 @@
 class StateMirror:
     """The replicas of all topics on this host.
 
-    `retained` are targets that the topics lack but that are still used.
+    `retained` are targets that the topics lack but that are still used;
+    `freshness` tells until when this host knows of all changes of the
+    configuration.
     """
 
-    __slots__ = ('retained', 'topics')
+    __slots__ = ('freshness', 'retained', 'topics')
 
     def __init__(self, topics: Iterable[TopicMirror]) -> None:
         """Create a mirror of these topics."""
         self.topics = {topic.name: topic for topic in topics}
         self.retained = RetainedRecords()
+        self.freshness = Freshness()
 
     def versions(self) -> tuple[TopicVersion, ...]:
         """Return the version of each topic."""
--- a/foxtailreach/core/dispatch/reader_election.py
+++ b/foxtailreach/core/dispatch/reader_election.py
@@ -61,6 +61,13 @@
         else:
             self._last_failure_us[host_id] = now_us
 
+    def record_recovery(self, host_id: str) -> None:
+        """Record that a host can read again, although it may not be reading.
+
+        Its view of itself must be what its notices tell the others.
+        """
+        self._last_failure_us.pop(host_id, None)
+
     def rank(self, now_us: int) -> int:
         """Return this host's rank among the candidates; 0 is the reader.
 
--- a/foxtailreach/gateway/peers.py
+++ b/foxtailreach/gateway/peers.py
@@ -31,6 +31,7 @@
 # copies are cached.
 MAX_CACHED_COPIES = 8
 RETENTION_STEP_US = 250 * MILLISECOND_US
+AGE_STEP_US = 100 * MILLISECOND_US
 READ_BYTES = 65_536
 MAX_ASKED_ADDRESSES = 1000
 MAX_COPY_BYTES = 64 * 1024 * 1024
@@ -43,8 +44,9 @@
 Receive = Callable[[str, messages.FleetMessage], None]
 Announce = Callable[[], messages.HostAnnounced]
 Versions = tuple[messages.TopicVersion, ...]
-# Versions of both hosts, the retained targets and their remaining time.
-CopyKey = tuple[Versions, Versions, tuple[str, ...], int]
+# Versions of both hosts, the retained targets and their remaining time, and the
+# age of the configuration.
+CopyKey = tuple[Versions, Versions, tuple[str, ...], int, int]
 
 
 class PeerEndpoint(asyncio.DatagramProtocol):
@@ -175,16 +177,27 @@
     def _encode_changes(self, versions: Versions) -> bytes:
         """Return the encoded changes since `versions`, cached by version."""
         retained = self._mirror.retained
+        now_us = boot_time_us()
         # Rounded, so that hosts that pull at once share a cached copy.
-        steps = retained.remaining_us(boot_time_us()) // RETENTION_STEP_US
+        steps = retained.remaining_us(now_us) // RETENTION_STEP_US
         remaining_us = steps * RETENTION_STEP_US
-        key = (versions, self._mirror.versions(), retained.keys, remaining_us)
+        confirmed_age_us = _round_up(
+            self._mirror.freshness.age_us(now_us), AGE_STEP_US
+        )
+        key = (
+            versions,
+            self._mirror.versions(),
+            retained.keys,
+            remaining_us,
+            confirmed_age_us,
+        )
         compressed = self._encoded_changes.get(key)
         if compressed is None:
             copy = messages.StateCopy(
                 self._mirror.deltas_since(versions),
                 retained.keys,
                 remaining_us,
+                confirmed_age_us,
             )
             compressed = zlib.compress(
                 FLEET_CODEC.encode(copy), COMPRESSION_LEVEL
@@ -218,6 +231,11 @@
     return message if isinstance(message, messages.StateCopy) else None
 
 
+def _round_up(age_us: int, step_us: int) -> int:
+    """Round an age up to a step; -1 stays as it is."""
+    return age_us if age_us < 0 else -(-age_us // step_us) * step_us
+
+
 def _decode_compressed(compressed: bytes) -> messages.FleetMessage:
     """Decompress and decode one message.
 
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -4,13 +4,16 @@
 datagram, and they pull copies. The reader is elected in
 `foxtailreach.core.dispatch.reader_election`. Hosts know each other through the
 store, where each registers; the readers pass that list on like the targets.
+
+A host that has not heard for too long that its configuration is the newest asks
+hosts elsewhere, and then the store; see `foxtailreach.core.dispatch.freshness`.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import asdict
 
@@ -19,6 +22,10 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import Deployment
 from foxtailreach.core.dispatch.fleet import FleetNode
+from foxtailreach.core.dispatch.freshness import (
+    APPLY_BOUND_US,
+    FreshnessStep,
+)
 from foxtailreach.core.dispatch.host_messages import Effects
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.dispatch.mirror import TopicMirror
@@ -29,16 +36,23 @@
     HistoryTrimmedError,
     PlatformUnavailableError,
 )
-from foxtailreach.gateway.peers import PeerEndpoint, pull_state
+from foxtailreach.gateway.peers import PeerEndpoint
 from foxtailreach.gateway.settings import GatewaySettings
+from foxtailreach.gateway.state_puller import StatePuller
 from foxtailreach.platform import records
+from foxtailreach.platform.long_poll import LongPoll
 from foxtailreach.platform.store import StoreClient, TopicPage
 
 # A draining target must get no requests from 2 s after its record is in the
 # store. The record is read within one interval, and notices reach the other
 # hosts within a few milliseconds.
 READ_INTERVAL_S = 0.7
-OPERATOR_POLL_WAIT_MS = 1500
+# The end of a poll without changes confirms the configuration.
+OPERATOR_POLL_WAIT_US = 700 * MILLISECOND_US
+MIN_POLL_WAIT_US = 50 * MILLISECOND_US
+# A reader that has sent a notice within this time sends none without changes.
+NOTICE_INTERVAL_US = 500 * MILLISECOND_US
+FRESHNESS_CHECK_INTERVAL_S = 0.1
 HOSTS_READ_INTERVAL_US = 2 * SECOND_US
 # All hosts may start at once, so the list is read with each read at first.
 STARTING_US = 6 * SECOND_US
@@ -51,7 +65,6 @@
 ANNOUNCE_INTERVAL_S = 0.3
 # Readers send a notice every 0.7 s, so two were missed after this long.
 READER_SILENCE_US = 1500 * MILLISECOND_US
-REMOTE_PULL_INTERVAL_US = 500 * MILLISECOND_US
 MAX_LOGGED_FAULTS = 20
 # Targets that live renew their entries within 2 s of the store's return.
 RENEWAL_US = 2500 * MILLISECOND_US
@@ -93,11 +106,17 @@
         self._on_effects = on_effects
         self._started_us = boot_time_us()
         self._last_hosts_read_us = 0
-        self._is_pulling = False
-        self._last_remote_pull_us = 0
-        self._last_silence_pull_us = 0
+        self._last_announced_us = 0
+        self._last_notice_us = 0
+        # When the newest of the calls that were answered was sent.
+        self._answered_sent_us = 0
+        self._poll = LongPoll()
+        self._puller = StatePuller(node, self.mirror, self._adopt_copy)
+        self._questions = 0
+        self._is_late = False
         self._registered = asyncio.Event()
         node.election.last_heard_us = boot_time_us()
+        self.mirror.freshness.start(boot_time_us())
 
     @property
     def is_ready(self) -> bool:
@@ -126,6 +145,7 @@
             group.create_task(self._register())
             group.create_task(self._read_targets())
             group.create_task(self._poll_operator_topic())
+            group.create_task(self._keep_fresh())
 
     def handle_notice(self, sender: str, message: messages.StateNotice) -> None:
         """Handle a notice; pull if the sender's state is newer.
@@ -144,7 +164,11 @@
             if message.is_reading:
                 self._outages.record_read(message.log_offset, now_us)
         if self.mirror.is_diverged or self.mirror.is_behind(message.versions):
-            asyncio.ensure_future(self._pull(sender))
+            asyncio.ensure_future(
+                self._puller.pull_noticed(sender, message.versions)
+            )
+        if not self._lacks_operator_changes(message.versions):
+            self._confirm(message.confirmed_age_us, now_us)
 
     def notify_host(self, host_id: str) -> None:
         """Send a notice to a host of this failure domain.
@@ -166,6 +190,7 @@
                 address = (seed.host, self._entry.peer_port)
                 self._peers.send_to(address, self._node.announcement())
         while not self._registered.is_set():
+            sent_us = boot_time_us()
             try:
                 await self._store.append(
                     topic,
@@ -174,7 +199,7 @@
                 )
                 page = await self._store.read_newest(topic)
             except PlatformUnavailableError as error:
-                self._record_failure(error)
+                self._record_failure(error, sent_us)
                 await asyncio.sleep(RETRY_INTERVAL_S * (1 + self._rng.random()))
                 continue
             self.mirror.topics[topic].replace(page.records, page.next_offset)
@@ -187,22 +212,17 @@
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     async def _read_targets(self) -> None:
-        """Read targets and hosts at intervals while this host is the reader.
-
-        Otherwise pull their state if the reader is silent.
-        """
+        """Read targets and hosts at intervals while this host is the reader."""
         await self._wait_for_registration()
         while True:
             if not self._node.election.should_read(boot_time_us()):
-                await self._pull_if_reader_is_silent()
                 await asyncio.sleep(READER_CHECK_INTERVAL_S)
                 continue
             started_us = boot_time_us()
             try:
                 await self._read_once()
             except PlatformUnavailableError as error:
-                self._record_failure(error)
-                await self._pull_remote()
+                self._record_failure(error, started_us)
             spent_s = (boot_time_us() - started_us) / SECOND_US
             await asyncio.sleep(
                 max(READER_CHECK_INTERVAL_S, READ_INTERVAL_S - spent_s)
@@ -211,26 +231,106 @@
     async def _poll_operator_topic(self) -> None:
         """Read configurations and evacuations with long polls.
 
-        Only while this host is the reader.
+        Only while this host is the reader. Polls end at even intervals, since
+        the others depend on their confirmations.
         """
         await self._wait_for_registration()
-        topic = self.mirror.topics[records.OPERATOR_TOPIC]
         while True:
             if not self._node.election.should_read(boot_time_us()):
                 await asyncio.sleep(READER_CHECK_INTERVAL_S)
                 continue
+            started_us = boot_time_us()
+            spent_us = started_us - self.mirror.freshness.confirmed_us
+            wait_us = max(MIN_POLL_WAIT_US, OPERATOR_POLL_WAIT_US - spent_us)
             try:
-                is_changed = await self._read_topic(
-                    topic, OPERATOR_POLL_WAIT_MS
+                is_answered = await self._poll.run(
+                    self._read_operator_topic(wait_us), wait_us
                 )
             except PlatformUnavailableError as error:
-                self._record_failure(error)
+                self._record_failure(error, started_us)
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
-            if is_changed:
-                self._apply_state()
+            if is_answered:
                 self._notify_domain()
 
+    async def _read_operator_topic(self, wait_us: int) -> bool:
+        """Read the changes of the operators, and use them; return True."""
+        sent_us = boot_time_us()
+        topic = self.mirror.topics[records.OPERATOR_TOPIC]
+        page = await self._fetch(topic, wait_us // MILLISECOND_US)
+        self._record_answer(sent_us)
+        if self._fold(topic, page):
+            self._apply_state('the store')
+            self._notify_domain()
+        if page.is_last:
+            # Without changes, the store answers after the wait.
+            is_whole_wait = not page.records and not page.is_whole
+            confirmed_us = sent_us + wait_us if is_whole_wait else sent_us
+            self.mirror.freshness.confirm(min(confirmed_us, boot_time_us()))
+        return True
+
+    async def _keep_fresh(self) -> None:
+        """Ask hosts elsewhere, then the store, when confirmations are late."""
+        while True:
+            await asyncio.sleep(FRESHNESS_CHECK_INTERVAL_S)
+            now_us = boot_time_us()
+            step = self.mirror.freshness.next_step(
+                now_us, is_coordinator=self._node.is_coordinator
+            )
+            match step:
+                case FreshnessStep.ASK_PEER:
+                    asyncio.ensure_future(self._ask_peer())
+                case FreshnessStep.READ_STORE:
+                    asyncio.ensure_future(self._read_for_itself())
+                case FreshnessStep.NONE:
+                    pass
+            self._log_lateness(now_us)
+
+    async def _ask_peer(self) -> None:
+        """Pull from a coordinator, of other and of the own domain by turns.
+
+        The reader may not know this host, if its announcement was lost; so
+        announce it to a coordinator of its domain again.
+        """
+        now_us = boot_time_us()
+        own = self._node.coordinators_of_domain()
+        silent_us = now_us - self._node.election.last_heard_us
+        is_due = now_us - self._last_announced_us >= READER_SILENCE_US
+        if own and silent_us >= READER_SILENCE_US and is_due:
+            self._last_announced_us = now_us
+            self._peers.send(own[0], self._node.announcement())
+        remote = self._node.coordinators_elsewhere()
+        self._questions += 1
+        is_own_turn = self._questions % 2 == 0
+        preferred = own if is_own_turn else remote
+        candidates = preferred or own or remote
+        if not candidates:
+            return
+        if await self._puller.pull(self._rng.choice(candidates)):
+            self.mirror.freshness.record_answer(boot_time_us())
+
+    async def _read_for_itself(self) -> None:
+        """Read the changes of the operators although others should."""
+        started_us = boot_time_us()
+        try:
+            await self._read_operator_topic(0)
+        except PlatformUnavailableError as error:
+            logger.info('no configuration from the store either: {}', error)
+            if started_us > self._answered_sent_us:
+                self._is_store_up = False
+
+    def _log_lateness(self, now_us: int) -> None:
+        """Log when the configuration becomes older than its bound, or fresh.
+
+        Requests are served by it nevertheless: the store may be away for hours.
+        """
+        age_us = self.mirror.freshness.age_us(now_us)
+        if self._is_late == (age_us > APPLY_BOUND_US):
+            return
+        self._is_late = not self._is_late
+        text = 'is not confirmed' if self._is_late else 'is confirmed again'
+        logger.bind(unconfirmed_us=age_us).info('configuration {}', text)
+
     async def _wait_for_registration(self) -> None:
         """Wait for the list of hosts, which the reader election needs.
 
@@ -241,8 +341,9 @@
                 await self._registered.wait()
 
     async def _read_once(self) -> None:
+        sent_us = boot_time_us()
         topic = self.mirror.topics[records.TARGETS_TOPIC]
-        is_changed = await self._read_topic(topic, 0)
+        is_changed = await self._read_topic(topic)
         now_us = boot_time_us()
         interval_us = HOSTS_READ_INTERVAL_US
         if now_us - self._started_us < STARTING_US:
@@ -250,21 +351,36 @@
         if now_us - self._last_hosts_read_us > interval_us:
             self._last_hosts_read_us = now_us
             hosts = self.mirror.topics[records.HOSTS_TOPIC]
-            if await self._read_topic(hosts, 0):
+            if await self._read_topic(hosts):
                 self._apply_hosts()
-        self._record_read(now_us)
+        self.last_read_us = now_us
+        self._record_answer(sent_us)
+        self._node.election.record_notice(
+            self._entry.host_id, now_us, is_reading=True
+        )
         if is_changed:
-            self._apply_state()
-        self._notify_domain()
+            self._apply_state('the store')
+        if is_changed or now_us - self._last_notice_us >= NOTICE_INTERVAL_US:
+            self._notify_domain()
 
-    async def _read_topic(self, topic: TopicMirror, wait_ms: int) -> bool:
+    async def _read_topic(self, topic: TopicMirror) -> bool:
         """Bring one topic up to date; return whether something changed."""
-        page = await self._fetch(topic, wait_ms)
+        page = await self._fetch(topic, 0)
         if topic.name == records.TARGETS_TOPIC:
             self._retain_expired(topic, page, boot_time_us())
+        return self._fold(topic, page)
+
+    def _fold(self, topic: TopicMirror, page: TopicPage) -> bool:
+        """Apply a page of the log; return whether something changed."""
         if page.is_whole:
             return topic.replace(page.records, page.next_offset)
-        return topic.fold(page.records, page.next_offset)
+        # A copy of another host may have been adopted during the call.
+        newer = [
+            record
+            for record in page.records
+            if record.offset >= topic.next_offset
+        ]
+        return topic.fold(newer, page.next_offset)
 
     async def _fetch(self, topic: TopicMirror, wait_ms: int) -> TopicPage:
         if topic.is_read:
@@ -326,87 +442,39 @@
         gone = [key for key in expired if key not in listed]
         if gone:
             logger.bind(targets=gone).info('targets not renewed')
-            self._apply_state()
-
-    def _record_read(self, now_us: int) -> None:
-        self.last_read_us = now_us
-        if not self._is_store_up:
+            self._apply_state('an expiry')
+
+    def _record_answer(self, sent_us: int) -> None:
+        """Record that the store answered a call that was sent at a time."""
+        self._answered_sent_us = max(self._answered_sent_us, sent_us)
+        is_return = not self._is_store_up
+        self._poll.record_answer(sent_us, is_return=is_return)
+        if is_return:
             self._is_store_up = True
+            self._node.election.record_recovery(self._entry.host_id)
             logger.info('store answers again')
-        self._node.election.record_notice(
-            self._entry.host_id,
-            now_us,
-            is_reading=True,
-        )
 
-    def _record_failure(self, error: PlatformUnavailableError) -> None:
-        now_us = boot_time_us()
+    def _record_failure(
+        self, error: PlatformUnavailableError, sent_us: int
+    ) -> None:
+        """Record a failed call, unless a later one has been answered."""
+        if sent_us < self._answered_sent_us:
+            logger.info('a call failed that the store had taken: {}', error)
+            return
         if self._is_store_up:
             self._is_store_up = False
             logger.warning('store does not answer: {}', error)
         self._node.election.record_notice(
             self._entry.host_id,
-            now_us,
+            boot_time_us(),
             is_reading=False,
         )
         self._notify_domain()
 
-    async def _pull_if_reader_is_silent(self) -> None:
-        """Pull from a host of this domain when no notices arrive.
-
-        The reader may not know this host, if its announcement was lost; so
-        announce it to the reader again.
-        """
-        now_us = boot_time_us()
-        silent_us = now_us - self._node.election.last_heard_us
-        if silent_us < READER_SILENCE_US:
-            return
-        if now_us - self._last_silence_pull_us < READER_SILENCE_US:
-            return
-        self._last_silence_pull_us = now_us
-        others = self._node.coordinators_of_domain()
-        if others:
-            self._peers.send(others[0], self._node.announcement())
-            await self._pull(self._rng.choice(others))
-
-    async def _pull_remote(self) -> None:
-        """Pull from a host of another domain when this host cannot read."""
-        now_us = boot_time_us()
-        if now_us - self._last_remote_pull_us < REMOTE_PULL_INTERVAL_US:
-            return
-        self._last_remote_pull_us = now_us
-        others = [
-            host_id
-            for host_id in self._node.membership.usable_hosts()
-            if not self._is_in_own_domain(host_id)
-        ]
-        if others:
-            await self._pull(self._rng.choice(others))
-
-    async def _pull(self, host_id: str) -> None:
-        if self._is_pulling:
-            return
-        state = self._node.membership.hosts.get(host_id)
-        if state is None:
-            return
-        self._is_pulling = True
-        address = (state.entry.address, state.entry.peer_port)
-        try:
-            is_changed = await self._pull_changes(address)
-            if self.mirror.is_diverged:
-                logger.warning('changes of {} do not fit; copying all', host_id)
-                is_changed = await self._pull_changes(address) or is_changed
-        finally:
-            self._is_pulling = False
-        if is_changed:
-            self._apply_hosts()
-            self._apply_state()
-
-    async def _pull_changes(self, address: tuple[str, int]) -> bool:
-        pull = messages.StatePull(self.mirror.pull_versions())
-        copy = await pull_state(address, pull)
-        if copy is None:
-            return False
+    def _adopt_copy(
+        self, sender: str, copy: messages.StateCopy, sent_us: int
+    ) -> None:
+        """Adopt the copy of another host, requested at `sent_us`."""
         topic = self.mirror.topics[records.TARGETS_TOPIC]
         known = {
             key: topic.records[key]
@@ -418,9 +486,31 @@
             record for key, record in known.items() if key not in topic.records
         ]
         self._retain(removed, copy.retained_for_us)
-        return is_changed
+        if is_changed:
+            self._apply_hosts()
+            self._apply_state(sender)
+        versions = [
+            messages.TopicVersion(one.topic, one.version) for one in copy.topics
+        ]
+        if not self._lacks_operator_changes(versions):
+            self._confirm(copy.confirmed_age_us, sent_us)
+
+    def _confirm(self, age_us: int, at_us: int) -> None:
+        """Record what another host said of its configuration's age."""
+        if age_us >= 0:
+            self.mirror.freshness.confirm(at_us - age_us)
+
+    def _lacks_operator_changes(
+        self, versions: Iterable[messages.TopicVersion]
+    ) -> bool:
+        """Whether another host knows of changes that this one has not."""
+        return self.mirror.is_behind(
+            version
+            for version in versions
+            if version.topic == records.OPERATOR_TOPIC
+        )
 
-    def _apply_state(self) -> None:
+    def _apply_state(self, source: str) -> None:
         """Decode the mirrored state and update the node with it."""
         previous = self._node.deployment
         targets_topic = self.mirror.topics[records.TARGETS_TOPIC]
@@ -439,7 +529,11 @@
         )
         self._on_effects(effects)
         if deployment is not None and deployment is not previous:
-            logger.info('configuration {} is in force', deployment.version)
+            # The store has accepted it after the last confirmation.
+            logger.bind(
+                source=source,
+                at_most_late_us=self.mirror.freshness.age_us(boot_time_us()),
+            ).info('configuration {} is in force', deployment.version)
             _log_faults(deployment)
 
     def _apply_hosts(self) -> None:
@@ -449,7 +543,8 @@
         self._on_effects(self._node.update_hosts(registrations, boot_time_us()))
 
     def _notify_domain(self) -> None:
-        notice = self._notice(boot_time_us())
+        self._last_notice_us = boot_time_us()
+        notice = self._notice(self._last_notice_us)
         for host_id in self._node.membership.others():
             if self._is_in_own_domain(host_id):
                 self._peers.send(host_id, notice)
@@ -461,6 +556,7 @@
             is_reading=self._is_store_up and bool(self.last_read_us),
             cut_off=tuple(sorted(self._node.cut_off_domains(now_us))),
             log_offset=self.mirror.topics[records.TARGETS_TOPIC].next_offset,
+            confirmed_age_us=self.mirror.freshness.age_us(now_us),
         )
 
     def _is_in_own_domain(self, host_id: str) -> bool:
--- a/foxtailreach/platform/store.py
+++ b/foxtailreach/platform/store.py
@@ -24,7 +24,8 @@
 
 # The store answers within 4 ms, and up to 70 times slower at its worst.
 CALL_TIMEOUT_S = 1.0
-MAX_CLIENTS = 4
+# Calls that were given up hold their connection until they time out.
+MAX_CLIENTS = 8
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 TOPIC_PARTITION = 0
 _LENGTH = struct.Struct('!I')
@@ -37,12 +38,14 @@
 class TopicPage:
     """Records of a topic, and the offset after the newest one.
 
-    `is_whole` if they are the newest record of each key, not a part of the log.
+    `is_whole` if they are the newest record of each key, not a part of the log;
+    `is_last` if the log held no further records.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     is_whole: bool = False
+    is_last: bool = True
 
 
 class StoreClient:
@@ -175,9 +178,12 @@
                 offset=offset + position,
             ),
         )
-    # `end` can be after the last record of this answer, whose size is limited.
-    del end, first
-    return TopicPage(tuple(records), offset + len(records))
+    del first
+    next_offset = offset + len(records)
+    # The size of an answer is limited.
+    return TopicPage(
+        tuple(records), next_offset, is_last=next_offset >= int(end)
+    )
 
 
 def _split_records(stream: bytes) -> Iterator[bytes]:
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -76,7 +76,7 @@
 
 struct StateNotice {
   1: list<TopicVersion> versions, 2: i64 age_us, 3: bool is_reading,
-  4: list<string> cut_off, 5: i64 log_offset
+  4: list<string> cut_off, 5: i64 log_offset, 6: i64 confirmed_age_us
 }
 
 struct StatePull { 1: list<TopicVersion> versions }
@@ -90,7 +90,8 @@
 }
 
 struct StateCopy {
-  1: list<TopicCopy> topics, 2: list<string> retained, 3: i64 retained_for_us
+  1: list<TopicCopy> topics, 2: list<string> retained, 3: i64 retained_for_us,
+  4: i64 confirmed_age_us
 }
 
 struct FleetEnvelope {
--- a/foxtailreach/tests/platform/departed_targets_tests.py
+++ b/foxtailreach/tests/platform/departed_targets_tests.py
@@ -22,9 +22,10 @@
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.exceptions import PlatformUnavailableError
+from foxtailreach.gateway import state_puller
 from foxtailreach.gateway.peers import PeerEndpoint
 from foxtailreach.platform import feed as feed_module
-from foxtailreach.platform import records
+from foxtailreach.platform import long_poll, records
 from foxtailreach.platform.feed import PlatformFeed
 from foxtailreach.platform.store import TopicPage
 from foxtailreach.tests.dispatch.fixtures import RETRY_POLICY
@@ -244,7 +245,8 @@
 ) -> float:
     """Run a scenario in virtual time; return what it measured."""
     loop = VirtualTimeLoop()
-    monkeypatch.setattr(feed_module, 'boot_time_us', loop.now_us)
+    for module in (feed_module, long_poll, state_puller):
+        monkeypatch.setattr(module, 'boot_time_us', loop.now_us)
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
 
         async def main() -> float:
@@ -347,6 +349,6 @@
         reader.receive_notice('h1', source.versions())
         return await reader.used_s(0)
 
-    monkeypatch.setattr(feed_module, 'pull_state', pull_copy)
+    monkeypatch.setattr(state_puller, 'pull_state', pull_copy)
     seen_s = run_reader(monkeypatch, measure)
     assert used_s - 0.5 <= seen_s <= used_s + 0.5
--- a/foxtailreach/tests/platform/state_replay.py
+++ b/foxtailreach/tests/platform/state_replay.py
@@ -26,9 +26,10 @@
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.exceptions import PlatformUnavailableError
+from foxtailreach.gateway import state_puller
 from foxtailreach.gateway.settings import Address, GatewaySettings
 from foxtailreach.platform import feed as feed_module
-from foxtailreach.platform import records
+from foxtailreach.platform import long_poll, records
 from foxtailreach.platform.feed import PlatformFeed
 from foxtailreach.platform.store import CALL_TIMEOUT_S, TopicPage
 from foxtailreach.tests.dispatch.fixtures import RETRY_POLICY
@@ -361,7 +362,9 @@
             return None
         await asyncio.sleep(2 * DELAY_S)
         host = self.hosts.get(receiver)
-        return None if host is None else _answer_pull(host, pull)
+        if host is None:
+            return None
+        return _answer_pull(host, pull, self.loop.now_us())
 
     def delays_s(self, excluded: set[str]) -> list[float]:
         """Return how long each host took to use each change.
@@ -392,9 +395,13 @@
 
 
 def _answer_pull(
-    host: StateHost, pull: messages.StatePull
+    host: StateHost, pull: messages.StatePull, now_us: int
 ) -> messages.StateCopy:
-    return messages.StateCopy(host.feed.mirror.deltas_since(pull.versions))
+    mirror = host.feed.mirror
+    return messages.StateCopy(
+        mirror.deltas_since(pull.versions),
+        confirmed_age_us=mirror.freshness.age_us(now_us),
+    )
 
 
 def _settings(entry: HostEntry) -> GatewaySettings:
@@ -431,7 +438,8 @@
 ) -> list[float]:
     """Run a script; return the delays of its changes at all hosts in touch."""
     loop = VirtualTimeLoop()
-    monkeypatch.setattr(feed_module, 'boot_time_us', loop.now_us)
+    for module in (feed_module, long_poll, state_puller):
+        monkeypatch.setattr(module, 'boot_time_us', loop.now_us)
     with (
         ExitStack() as stack,
         asyncio.Runner(loop_factory=lambda: loop) as runner,
@@ -440,7 +448,7 @@
         stack.callback(logger.enable, feed_module.__name__)
         store = SharedStore(loop)
         replay = StateReplay(loop, random.Random(seed), store)
-        monkeypatch.setattr(feed_module, 'pull_state', replay.pull_state)
+        monkeypatch.setattr(state_puller, 'pull_state', replay.pull_state)
         return runner.run(_run(replay, script, hosts))
 
 
