Test that an earlier refusal or a cut head is taken for no answer

From reports of other operators: a target wrote an earlier refusal once more on a kept connection, and one stopped in the middle of its answer's head. Neither can happen here: an answer counts by its id, or without one only as a refusal on a new connection; a head or body that stops early at any byte is a lost answer.

--- a/foxtailreach/tests/gateway/upstream_tests.py
+++ b/foxtailreach/tests/gateway/upstream_tests.py
@@ -33,6 +33,14 @@
 NAMELESS_REFUSAL = (
     b'HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n'
 )
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signed: s\r\n'
+    b'transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n'
+)
+REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nx-id: r1\r\nx-not-executed: 1\r\n'
+    b'content-length: 0\r\n\r\n'
+)
 UNFRAMED = b'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signed: s\r\n\r\nhi'
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -358,3 +366,63 @@
     answer = asyncio.run(scenario())
     assert answer.is_reused
     assert (answer.outcome, answer.body) == (SendOutcome.SERVED, b'me')
+
+
+@pytest.mark.parametrize('second_id', ['r2', 'r3'])
+@pytest.mark.parametrize(
+    ('ends', 'outcome'),
+    [('answers', SendOutcome.SERVED), ('resets', SendOutcome.LOST)],
+)
+@pytest.mark.parametrize(
+    'refusal',
+    [REFUSAL, REFUSAL.replace(b'x-id: r1\r\n', b'')],
+    ids=['names its request', 'names none'],
+)
+def test_earlier_refusal_once_more_says_not_run_of_the_next_request(
+    refusal: bytes, ends: str, outcome: SendOutcome, second_id: str
+) -> None:
+    """The next request runs, so that a retry of it could run twice."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'body')
+        writer.write(refusal)
+        await reader.readuntil(b'body')
+        writer.write(refusal)
+        await asyncio.sleep(0.01)
+        if ends == 'resets':
+            reset(writer)
+            return
+        writer.write(OK.replace(b'r1', second_id.encode()))
+        await reader.read()
+
+    async def scenario() -> tuple[TargetAnswer, TargetAnswer]:
+        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        async with target(script) as (grant, _):
+            first = await send(upstream, grant, request('r1', b'POST'))
+            second = await send(upstream, grant, request(second_id, b'POST'))
+            upstream.close()
+            return first, second
+
+    first, second = asyncio.run(scenario())
+    assert first.outcome is SendOutcome.SHED
+    assert second.is_reused
+    assert second.outcome is outcome
+
+
+@pytest.mark.parametrize('ends', ['closes', 'resets'])
+@pytest.mark.parametrize('whole', [OK, CHUNKED], ids=['length', 'chunked'])
+def test_answer_that_stops_early_looks_whole(whole: bytes, ends: str) -> None:
+    """A target stops at any byte of the head or body, and closes."""
+
+    async def scenario(sent: bytes) -> TargetAnswer:
+        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        async with target(reply_with(sent, ends=ends)) as (grant, _):
+            answer = await send(upstream, grant, request(), 2)
+            upstream.close()
+            return answer
+
+    for size in range(1, len(whole)):
+        answer = asyncio.run(scenario(whole[:size]))
+        assert answer.outcome is SendOutcome.LOST, whole[:size]
