Answer pipelined requests before a stop closes their connection, and refuse late ones

It could happen here in two ways: a request whose body arrived late was passed on until the end, and the answer to one request closed the connection on which others that had been passed on still waited. Class: a connection closed by the clock, not by what is in flight on it.

test_pipelined_requests_are_cut_when_the_host_stops failed before (a third request was passed on and cut), so did test_request_late_in_a_stop_is_passed_on_and_cut.

--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -182,6 +182,7 @@
         await asyncio.sleep(LISTEN_AFTER_STOP_S)
         self._frontend.stop()
         await asyncio.sleep(IDLE_CLOSE_DELAY_S)
+        self._proxy.refuse_new()
         while boot_time_us() < deadline_us:
             if boot_time_us() > deadline_us - REFUSE_BEFORE_END_US:
                 self._proxy.refuse_waiting()
--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -135,9 +135,7 @@
         answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
     ) -> None:
         while not self._is_closing:
-            if not await self._reader.wait_for_bytes():
-                if self.unanswered:
-                    continue
+            if not await self._wait_for_request():
                 return
             parser = h11.Connection(
                 h11.SERVER,
@@ -163,6 +161,18 @@
                 # Discard later bytes; reading still detects a disconnect.
                 await self._watch_until_answered()
 
+    async def _wait_for_request(self) -> bool:
+        """Wait until a request begins; False if none is to be read."""
+        while not await self._reader.wait_for_bytes():
+            if not self.unanswered:
+                return False
+        if self._frontend.is_stopping and self.unanswered:
+            # The last answer closes the connection; a caller resends what was
+            # not read.
+            await self._watch_until_answered()
+            return False
+        return True
+
     async def _watch_until_answered(self) -> None:
         """Read and discard bytes until every request is answered.
 
@@ -209,7 +219,8 @@
                 return
             parser, pending = entry
             answer = await pending.answer()
-            must_close = answer.must_close or self._frontend.is_stopping
+            is_last = self._frontend.is_stopping and self.unanswered == 1
+            must_close = answer.must_close or is_last
             if must_close:
                 self._is_closing = True
             try:
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -114,6 +114,7 @@
         '_fleet_client',
         '_get_priority',
         '_is_refusing',
+        '_is_refusing_new',
         '_node',
         '_record_request',
         '_rng',
@@ -138,9 +139,18 @@
         self._record_request = record
         self._rng = rng
         self._is_refusing = False
+        self._is_refusing_new = False
         self._waiting: set[asyncio.Task[GrantedSlot | messages.SlotRefused]]
         self._waiting = set()
 
+    def refuse_new(self) -> None:
+        """Refuse requests that arrive from now on.
+
+        Load pattern: a request was still arriving as its host stopped. Its
+        target may not answer before the process ends.
+        """
+        self._is_refusing_new = True
+
     def refuse_waiting(self) -> None:
         """Refuse the requests that wait for a slot, now and from now on.
 
@@ -177,6 +187,8 @@
         request: CallerRequest,
         trace: RequestTrace,
     ) -> CallerAnswer:
+        if self._is_refusing_new:
+            return _unavailable_answer(Reason.STOPPING, STOPPING_RETRY_US)
         deployment = await self._wait_for_deployment()
         if deployment is None:
             return _unavailable_answer(
--- a/foxtailreach/tests/gateway/frontend_tests.py
+++ b/foxtailreach/tests/gateway/frontend_tests.py
@@ -150,6 +150,35 @@
     assert b'connection: close' in answer.lower()
 
 
+def test_pipelined_requests_are_cut_when_the_host_stops() -> None:
+    """Requests that were passed on before are answered, later ones not read."""
+    handled: list[str] = []
+
+    async def slow(request: CallerRequest) -> CallerAnswer:
+        handled.append(request.request_id)
+        await asyncio.sleep(0.15)
+        return await echo(request)
+
+    def named(name: bytes) -> bytes:
+        return HEAD.replace(b'r1', name) + b'content-length: 0\r\n\r\n'
+
+    async def scenario() -> bytes:
+        async with frontend(slow) as (server, port):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(named(b'r1'))
+            await asyncio.sleep(0.05)
+            writer.write(named(b'r2'))
+            await asyncio.sleep(0.05)
+            server.is_stopping = True
+            writer.write(named(b'r3'))
+            return await asyncio.wait_for(reader.read(), 2)
+
+    answer = asyncio.run(scenario())
+    assert handled == ['r1', 'r2']
+    assert answer.count(b'HTTP/1.1 200') == 2
+    assert answer.lower().count(b'connection: close') == 1
+
+
 def test_caller_that_asks_to_close_is_answered_first() -> None:
     async def scenario() -> bytes:
         async with frontend() as (_, port):
--- a/foxtailreach/tests/gateway/proxy_tests.py
+++ b/foxtailreach/tests/gateway/proxy_tests.py
@@ -311,6 +311,29 @@
         assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
 
 
+@pytest.mark.parametrize('is_late', [False, True])
+def test_request_late_in_a_stop_is_passed_on_and_cut(is_late: bool) -> None:
+    """The process ends before its target may have answered."""
+    deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
+
+    async def main() -> CallerAnswer:
+        proxy = create_proxy(SlowFleet([SendOutcome.SERVED]), deployment)
+        if is_late:
+            proxy.refuse_new()
+            return await proxy.handle(caller_request())
+        task = asyncio.ensure_future(proxy.handle(caller_request()))
+        await asyncio.sleep(0.02)
+        proxy.refuse_new()
+        return await task
+
+    answer = asyncio.run(main())
+    expected = Verdict.NOT_RUN if is_late else Verdict.RAN
+    assert answer.verdict is expected
+    if is_late:
+        assert answer.reason is Reason.STOPPING
+        assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+
+
 def test_caller_that_leaves_withdraws_its_waiting_request() -> None:
     deployment = Deployment(1, index_routes([ROUTE]), {'svc': SERVICE})
 
--- a/foxtailreach/tests/platform/end_to_end_tests.py
+++ b/foxtailreach/tests/platform/end_to_end_tests.py
@@ -386,6 +386,25 @@
     assert fleet.lines('h1')[-1]['message'] == 'stopped'
 
 
+async def request_that_arrives_late_in_a_stop_is_refused(fleet: Fleet) -> None:
+    """Its target takes longer than the rest of the grace period."""
+    for target in fleet.targets:
+        target.delay_s = 2.0
+    address, port = fleet.address('h1'), fleet.port + 2
+    parser = h11.Connection(h11.CLIENT)
+    payload = request_bytes(parser, '/a/x', method='POST', body=b'late')
+    fleet.processes['h1'].send_signal(signal.SIGTERM)
+    await asyncio.sleep(1.4)
+    reader, writer = await asyncio.open_connection(address, port)
+    writer.write(payload[:-1])
+    await asyncio.sleep(2.4)
+    writer.write(payload[-1:])
+    answer = await read_answer(reader, parser)
+    assert (answer.status, answer.headers['connection']) == (503, 'close')
+    assert not any(target.seen for target in fleet.targets)
+    writer.close()
+
+
 async def killed_host_barely_delays_the_others(fleet: Fleet) -> None:
     fleet.processes['h1'].kill()
     loop = asyncio.get_running_loop()
@@ -418,6 +437,7 @@
         store_outage_keeps_targets_in_service,
         trimmed_history_is_read_in_full,
         stopped_host_finishes_its_requests,
+        request_that_arrives_late_in_a_stop_is_refused,
         killed_host_barely_delays_the_others,
         reload_keeps_serving,
     ],
