Ask the holders of overdue slots whether they hold them

Cause (suspected by the last postmortem, shown by the new test): if all copies of a report are lost, the slot stays taken and its target ejected until 1 s after the deadline of the request, that is up to 9.6 s with deadlines of 8.6 s. Class: state that a burst of lost messages leaves wrong until a time-out.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -29,6 +29,7 @@
     SLOW_FACTOR,
     TargetRecord,
     TargetStatus,
+    overdue_after_us,
 )
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
@@ -43,6 +44,8 @@
 CRASHES_TO_QUARANTINE = 3
 CRASH_WINDOW_US = 60 * SECOND_US
 QUARANTINE_RETRY_AFTER_US = 30 * SECOND_US
+# Hosts are asked at this interval whether they hold overdue slots.
+SLOT_CHECK_INTERVAL_US = 400 * MILLISECOND_US
 # Copies of a message arrive within this time.
 REMEMBER_ENDED_US = 2 * SECOND_US
 
@@ -107,6 +110,7 @@
     __slots__ = (
         '_crashes',
         '_ended',
+        '_last_check_us',
         '_leases',
         '_mean_service_us',
         '_outcomes',
@@ -135,6 +139,7 @@
         self._placement = PlacementState(now_us, DEFAULT_SERVICE_TIME_US)
         self._outcomes = RecentOutcomes()
         self._leases: dict[Holder, Lease] = {}
+        self._last_check_us = now_us
         # Requests that were reported or withdrawn, the oldest first.
         self._ended: dict[Holder, EndedRequest] = {}
         self._crashes = CrashTracker(CRASHES_TO_QUARANTINE, CRASH_WINDOW_US)
@@ -323,8 +328,31 @@
             new_effects.append(
                 self._refuse_overload(waiter.host_id, waiter.slot_request),
             )
+        new_effects.extend(self._check_overdue_slots(now_us))
         return [*new_effects, *self._serve_queue(now_us)]
 
+    def _check_overdue_slots(self, now_us: int) -> Effects:
+        """Ask the holders of overdue slots whether they still hold them.
+
+        Load pattern: links lose bursts of messages, with all copies of a
+        report. Its slot would keep a healthy target out of use until the
+        deadline of the request.
+        """
+        if now_us - self._last_check_us < SLOT_CHECK_INTERVAL_US:
+            return []
+        self._last_check_us = now_us
+        granted_before_us = now_us - overdue_after_us(self._service_time_us())
+        overdue: dict[str, list[int]] = {}
+        for (host_id, ask_id), lease in self._leases.items():
+            if lease.granted_us < granted_before_us:
+                overdue.setdefault(host_id, []).append(ask_id)
+        return [
+            messages.SendHost(
+                host_id, messages.SlotCheck(self._spec.name, tuple(ask_ids))
+            )
+            for host_id, ask_ids in overdue.items()
+        ]
+
     def _forget_ended(self, now_us: int) -> None:
         for holder, ended in list(self._ended.items()):
             if now_us - ended.ended_us < REMEMBER_ENDED_US:
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -134,6 +134,14 @@
     service_name: str
 
 
+@dataclass(slots=True, frozen=True)
+class SlotCheck:
+    """Asks whether the receiver still holds slots that were granted to it."""
+
+    service_name: str
+    ask_ids: tuple[int, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class TurnedAway:
     """Informs a broker of a request that was refused without a slot request."""
@@ -330,6 +338,7 @@
     | SlotQueued
     | SlotRefused
     | SlotCancel
+    | SlotCheck
     | TurnedAway
     | SlotReport
     | ChargeRequest
--- a/foxtailreach/core/dispatch/target_record.py
+++ b/foxtailreach/core/dispatch/target_record.py
@@ -275,5 +275,9 @@
         if not self.granted:
             return False
         oldest_us = min(self.granted.values())
-        limit_us = max(MIN_OVERDUE_US, OVERDUE_FACTOR * service_us)
-        return now_us - oldest_us > limit_us
+        return now_us - oldest_us > overdue_after_us(service_us)
+
+
+def overdue_after_us(service_us: int) -> int:
+    """Return how long a request may run before it is overdue."""
+    return max(MIN_OVERDUE_US, OVERDUE_FACTOR * service_us)
--- a/foxtailreach/gateway/fleet_client.py
+++ b/foxtailreach/gateway/fleet_client.py
@@ -78,7 +78,7 @@
 class FleetClient:
     """Sends slot and charge requests to other hosts and awaits the replies."""
 
-    __slots__ = ('_ask_ids', '_node', '_pending', '_send')
+    __slots__ = ('_ask_ids', '_held', '_node', '_pending', '_send')
 
     def __init__(self, node: FleetNode, send: Send) -> None:
         """Send requests with `send`, which also delivers to this host."""
@@ -88,6 +88,8 @@
             node.membership.incarnation * ASK_IDS_PER_MS,
         )
         self._pending: dict[tuple[str, int], asyncio.Queue[Reply]] = {}
+        # The slots of requests that have not ended.
+        self._held: set[int] = set()
 
     def receive(self, sender: str, reply: Reply) -> None:
         """Deliver a reply to the task that waits for it."""
@@ -161,6 +163,7 @@
             reply = await self._ask_slot(host_id, request, deadline_us)
             match reply:
                 case messages.SlotGrant():
+                    self._held.add(ask_id)
                     return GrantedSlot(reply, host_id)
                 case messages.SlotRefused():
                     return reply
@@ -171,12 +174,24 @@
 
     def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
         """Release a slot; report its outcome to the next broker in rank too."""
+        self._held.discard(report.ask_id)
         self._send_twice(slot.broker, report)
         ranked = self._node.broker_hosts(report.service_name, boot_time_us())
         for host_id in ranked[:2]:
             if host_id != slot.broker:
                 self._send(host_id, report)
 
+    def check_slots(self, broker: str, check: messages.SlotCheck) -> None:
+        """Free the slots that a broker takes for held although none holds them.
+
+        Their reports were lost, or belong to an earlier process of this host.
+        """
+        for ask_id in check.ask_ids:
+            is_pending = (broker, ask_id) in self._pending
+            if ask_id not in self._held and not is_pending:
+                cancel = messages.SlotCancel(ask_id, check.service_name)
+                self._send(broker, cancel)
+
     def report_over_limit(self, service: str) -> None:
         """Tell the broker that a request was refused by its rate limit."""
         message = messages.TurnedAway(service)
--- a/foxtailreach/gateway/router.py
+++ b/foxtailreach/gateway/router.py
@@ -43,6 +43,8 @@
         self.apply(self._node.receive(sender, message, boot_time_us()))
         if isinstance(message, REPLY_TYPES):
             self.client.receive(sender, message)
+        elif isinstance(message, messages.SlotCheck):
+            self.client.check_slots(sender, message)
 
     def apply(self, new_effects: Effects) -> None:
         """Carry out effects of the node."""
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -38,6 +38,8 @@
 
 struct SlotCancel { 1: i64 ask_id, 2: string service_name }
 
+struct SlotCheck { 1: string service_name, 2: list<i64> ask_ids }
+
 struct TurnedAway { 1: string service_name }
 
 struct SlotReport {
@@ -107,5 +109,6 @@
   15: optional StateNotice state_notice, 16: optional StatePull state_pull,
   17: optional StateCopy state_copy, 18: optional TurnedAway turned_away,
   20: optional ChargeCancel charge_cancel,
-  21: optional MeterCopy meter_copy, 22: optional HostUnknown host_unknown
+  21: optional MeterCopy meter_copy, 22: optional HostUnknown host_unknown,
+  23: optional SlotCheck slot_check
 }
--- a/foxtailreach/tests/gateway/fleet_client_tests.py
+++ b/foxtailreach/tests/gateway/fleet_client_tests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import CustomerSpec
 from foxtailreach.core.dispatch.messages import Admission, SlotReport
 from foxtailreach.core.units import SECOND_US
@@ -65,3 +66,40 @@
 
     asyncio.run(scenario())
     assert not broker.records['t0'].granted
+
+
+@pytest.mark.parametrize('is_held', [False, True])
+def test_burst_of_lost_reports_keeps_a_slot_taken(
+    is_held: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All copies of a report are lost; a slot that is held stays taken."""
+    broker = create_broker(1)
+    now_us = [START_US]
+    monkeypatch.setattr(fleet_client, 'boot_time_us', lambda: now_us[0])
+    client: fleet_client.FleetClient
+
+    def transmit(host_id: str, message: messages.FleetMessage) -> None:
+        match message:
+            case messages.SlotRequest():
+                effects = broker.request_slot('h1', 'd1', message, now_us[0])
+                client.receive(host_id, grants(effects)[0])
+            case messages.SlotCancel():
+                broker.cancel('h1', message.ask_id, now_us[0])
+            case _:
+                return
+
+    async def scenario() -> None:
+        deadline_us = now_us[0] + 8 * SECOND_US
+        slot = await client.acquire(slot_request(1), deadline_us)
+        assert isinstance(slot, fleet_client.GrantedSlot)
+        if not is_held:
+            client.report(slot, slot_report(slot.grant))
+        for _ in range(20):
+            now_us[0] += SECOND_US // 10
+            for effect in broker.tick(now_us[0]):
+                assert isinstance(effect.message, messages.SlotCheck)
+                client.check_slots('h1', effect.message)
+
+    client = fleet_client.FleetClient(create_fleet()['h1'], transmit)
+    asyncio.run(scenario())
+    assert bool(broker.records['t0'].granted) is is_held
