--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -243,6 +243,7 @@
         gauges = {
             'state_age_us': self._feed.age_us(now_us),
             'config_version': self._config_version(),
+            'config_age_us': self._feed.mirror.freshness.age_us(now_us),
             'config_faults': self._config_faults(),
             'targets': len(self._node.targets),
             'store_calls': self._feed.store_calls,
@@ -281,12 +282,14 @@
         self._metrics.record(trace, answer, latency_us)
         if answer.reason is None and not self._routine_lines.allow():
             return
+        now_us = boot_time_us()
         logger.bind(
             status=answer.status,
             verdict=answer.verdict,
             reason=answer.reason,
             latency_us=latency_us,
-            state_age_us=self._feed.age_us(boot_time_us()),
+            state_age_us=self._feed.age_us(now_us),
+            config_age_us=self._feed.mirror.freshness.age_us(now_us),
             **asdict(trace),
         ).info('request')
 
--- a/foxtailreach/tests/platform/late_configuration_tests.py
+++ b/foxtailreach/tests/platform/late_configuration_tests.py
@@ -9,6 +9,8 @@
 import pytest
 
 from foxtailreach.tests.platform.state_replay import (
+    CHECK_S,
+    DELAY_S,
     DOMAINS,
     Script,
     StateReplay,
@@ -152,8 +154,8 @@
     for_s: float, seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Seen: a request went by a version that was 2.8 s out of date."""
-    delays_s = replay_state(silent_store(for_s), seed, monkeypatch)
-    assert max(delays_s) <= APPLY_BOUND_S
+    replay = replay_state(silent_store(for_s), seed, monkeypatch)
+    assert max(replay.delays_s()) <= APPLY_BOUND_S
 
 
 @pytest.mark.parametrize(
@@ -165,5 +167,15 @@
     script: Script, seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Hosts in touch with the store use a change within the bound."""
-    delays_s = replay_state(script, seed, monkeypatch)
-    assert max(delays_s) <= APPLY_BOUND_S
+    replay = replay_state(script, seed, monkeypatch)
+    assert max(replay.delays_s()) <= APPLY_BOUND_S
+
+
+@pytest.mark.parametrize('script', [calm, silent_store(2.4), notices_are_lost])
+def test_logged_lateness_is_less_than_the_real_one(
+    script: Script, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A host knows only since when it may have lacked a change."""
+    replay = replay_state(script, 1, monkeypatch)
+    # The age in a notice leaves out its time on the way.
+    assert replay.unlogged_s() <= CHECK_S + 2 * DELAY_S
--- a/foxtailreach/tests/platform/state_replay.py
+++ b/foxtailreach/tests/platform/state_replay.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import loguru
 import pytest
 from loguru import logger
 
@@ -25,6 +26,7 @@
 from foxtailreach.core.dispatch.host_messages import Effects
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.messages import HostEntry
+from foxtailreach.core.units import SECOND_US
 from foxtailreach.exceptions import PlatformUnavailableError
 from foxtailreach.gateway import state_puller
 from foxtailreach.gateway.settings import Address, GatewaySettings
@@ -283,7 +285,8 @@
     """The hosts, the store, and the times at which changes were accepted.
 
     Hosts of `isolated` exchange nothing with other hosts; a notice is lost with
-    the probability `lost_notices`.
+    the probability `lost_notices`. Hosts `out_of_touch` with the store do not
+    count.
     """
 
     loop: VirtualTimeLoop
@@ -292,7 +295,27 @@
     hosts: dict[str, StateHost] = field(default_factory=dict)
     isolated: set[str] = field(default_factory=set)
     lost_notices: float = 0
+    out_of_touch: set[str] = field(default_factory=set)
     acked_s: dict[int, float] = field(default_factory=dict)
+    # What each host logs as the most that a version can be late, in seconds.
+    logged_s: dict[tuple[str, int], float] = field(default_factory=dict)
+
+    def record_log(self, message: loguru.Message) -> None:
+        """Keep how late a configuration can be at most, as a host logs it."""
+        extra = message.record['extra']
+        if 'at_most_late_us' in extra:
+            host_id = _running_host.get()
+            version = self.hosts[host_id].version
+            late_s = extra['at_most_late_us'] / SECOND_US
+            self.logged_s[host_id, version] = late_s
+
+    def unlogged_s(self) -> float:
+        """Return by how much a real delay exceeds the logged one at most."""
+        return max(
+            self.hosts[host_id].used_s[version] - self.acked_s[version] - late_s
+            for (host_id, version), late_s in self.logged_s.items()
+            if version in self.acked_s and host_id in self.hosts
+        )
 
     def readers(self) -> list[str]:
         """Return the hosts that read the store for their domain."""
@@ -366,16 +389,13 @@
             return None
         return _answer_pull(host, pull, self.loop.now_us())
 
-    def delays_s(self, excluded: set[str]) -> list[float]:
-        """Return how long each host took to use each change.
-
-        Hosts in `excluded` are out of touch and do not count.
-        """
+    def delays_s(self) -> list[float]:
+        """Return how long each host in touch took to use each change."""
         return [
             _used_s(host, version, LATEST_S + acked_s) - acked_s
             for host_id, host in self.hosts.items()
             for version, acked_s in self.acked_s.items()
-            if host_id not in excluded
+            if host_id not in self.out_of_touch
         ]
 
     async def observe(self) -> None:
@@ -435,8 +455,8 @@
     seed: int,
     monkeypatch: pytest.MonkeyPatch,
     hosts: int = 15,
-) -> list[float]:
-    """Run a script; return the delays of its changes at all hosts in touch."""
+) -> StateReplay:
+    """Run a script; the replay has the delays of its changes."""
     loop = VirtualTimeLoop()
     for module in (feed_module, long_poll, state_puller):
         monkeypatch.setattr(module, 'boot_time_us', loop.now_us)
@@ -444,15 +464,17 @@
         ExitStack() as stack,
         asyncio.Runner(loop_factory=lambda: loop) as runner,
     ):
-        logger.disable(feed_module.__name__)
-        stack.callback(logger.enable, feed_module.__name__)
         store = SharedStore(loop)
         replay = StateReplay(loop, random.Random(seed), store)
+        logger.remove()
+        sink = logger.add(replay.record_log)
+        stack.callback(logger.remove, sink)
         monkeypatch.setattr(state_puller, 'pull_state', replay.pull_state)
-        return runner.run(_run(replay, script, hosts))
+        runner.run(_run(replay, script, hosts))
+    return replay
 
 
-async def _run(replay: StateReplay, script: Script, hosts: int) -> list[float]:
+async def _run(replay: StateReplay, script: Script, hosts: int) -> None:
     replay.store.put_configuration(1)
     replay.store.append(
         records.TARGETS_TOPIC, 'i-1', json.dumps(HEARTBEAT).encode()
@@ -468,9 +490,8 @@
         host.start()
     observing = asyncio.ensure_future(replay.observe())
     await asyncio.sleep(SETTLE_S + replay.rng.random())
-    out_of_touch = await script(replay)
+    replay.out_of_touch = await script(replay)
     await asyncio.sleep(LATEST_S)
     observing.cancel()
     for host in replay.hosts.values():
         host.kill()
-    return replay.delays_s(out_of_touch)
