--- a/foxtailreach/tests/platform/late_configuration_tests.py
+++ b/foxtailreach/tests/platform/late_configuration_tests.py
@@ -20,13 +20,19 @@
 # Operators' bound from the store's acknowledgement to the last request that is
 # handled by an older version.
 APPLY_BOUND_S = 2.0
+# The same for a target that drains.
+DRAIN_BOUND_S = 2.0
 CHANGES = 5
 PAUSE_S = 0.18
 OUTAGES_S = (1.0, 1.7, 2.4, 3.1, 3.7, 4.3)
 
 
 async def change_often(replay: StateReplay) -> None:
-    """Change the configuration some times in quick succession."""
+    """Change the configuration some times in quick succession.
+
+    The target drains as the first change is accepted.
+    """
+    replay.drain_target()
     for _ in range(CHANGES):
         replay.change()
         await asyncio.sleep(PAUSE_S)
@@ -169,6 +175,7 @@
     """Hosts in touch with the store use a change within the bound."""
     replay = replay_state(script, seed, monkeypatch)
     assert max(replay.delays_s()) <= APPLY_BOUND_S
+    assert max(replay.drain_delays_s()) <= DRAIN_BOUND_S
 
 
 @pytest.mark.parametrize('script', [calm, silent_store(2.4), notices_are_lost])
--- a/foxtailreach/tests/platform/state_replay.py
+++ b/foxtailreach/tests/platform/state_replay.py
@@ -212,6 +212,8 @@
         """Create a host that knows only itself."""
         self.entry = entry
         self.used_s: dict[int, float] = {}
+        # When this host learned that the target drains.
+        self.drained_s = 0.0
         self._replay = replay
         self._context = contextvars.copy_context()
         self._context.run(_running_host.set, entry.host_id)
@@ -238,6 +240,11 @@
         deployment = self.node.deployment
         return -1 if deployment is None else deployment.version
 
+    @property
+    def knows_draining(self) -> bool:
+        """Whether the host knows that the target drains."""
+        return any(target.is_draining for target in self.node.targets)
+
     def start(self) -> None:
         """Start the tasks of the host."""
         loop = asyncio.get_running_loop()
@@ -296,6 +303,7 @@
     isolated: set[str] = field(default_factory=set)
     lost_notices: float = 0
     out_of_touch: set[str] = field(default_factory=set)
+    draining_s: float = 0
     acked_s: dict[int, float] = field(default_factory=dict)
     # What each host logs as the most that a version can be late, in seconds.
     logged_s: dict[tuple[str, int], float] = field(default_factory=dict)
@@ -341,6 +349,14 @@
         self.store.put_configuration(version)
         return version
 
+    def drain_target(self) -> None:
+        """Let the target report that it drains."""
+        self.draining_s = self.loop.time()
+        entry = {**HEARTBEAT, 'state': 'draining', 'sequence': 9}
+        self.store.append(
+            records.TARGETS_TOPIC, 'i-1', json.dumps(entry).encode()
+        )
+
     def kill(self, host_id: str) -> None:
         """End a host for good."""
         self.hosts.pop(host_id).kill()
@@ -398,12 +414,23 @@
             if host_id not in self.out_of_touch
         ]
 
+    def drain_delays_s(self) -> list[float]:
+        """Return how long each host in touch used the draining target."""
+        latest_s = self.draining_s + LATEST_S
+        return [
+            (host.drained_s or latest_s) - self.draining_s
+            for host_id, host in self.hosts.items()
+            if host_id not in self.out_of_touch
+        ]
+
     async def observe(self) -> None:
         """Record when each host begins to use each version."""
         while True:
             await asyncio.sleep(CHECK_S)
             for host in self.hosts.values():
                 host.used_s.setdefault(host.version, self.loop.time())
+                if not host.drained_s and host.knows_draining:
+                    host.drained_s = self.loop.time()
 
 
 def _used_s(host: StateHost, version: int, latest_s: float) -> float:
