Let coordinators read again at once while their reads succeed; do not abandon an answered poll

Found while reading the diff: a poll that was the first call to be answered after an outage abandoned itself after its work was done, and a host that reads for itself waited 2 s for its next read although the last one had been answered. The domain is notified once for a change, after its confirmation.

--- a/foxtailreach/core/dispatch/freshness.py
+++ b/foxtailreach/core/dispatch/freshness.py
@@ -99,7 +99,8 @@
     def _must_read(
         self, age_us: int, now_us: int, *, is_coordinator: bool
     ) -> bool:
-        if now_us - self._last_read_us < READ_RETRY_INTERVAL_US:
+        has_failed = self._last_read_us > self.confirmed_us
+        if has_failed and now_us - self._last_read_us < READ_RETRY_INTERVAL_US:
             return False
         if is_coordinator:
             return age_us >= COORDINATOR_READ_AFTER_US
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -243,31 +243,32 @@
             spent_us = started_us - self.mirror.freshness.confirmed_us
             wait_us = max(MIN_POLL_WAIT_US, OPERATOR_POLL_WAIT_US - spent_us)
             try:
-                is_answered = await self._poll.run(
+                await self._poll.run(
                     self._read_operator_topic(wait_us), wait_us
                 )
             except PlatformUnavailableError as error:
                 self._record_failure(error, started_us)
                 await asyncio.sleep(RETRY_INTERVAL_S)
-                continue
-            if is_answered:
-                self._notify_domain()
 
-    async def _read_operator_topic(self, wait_us: int) -> bool:
-        """Read the changes of the operators, and use them; return True."""
+    async def _read_operator_topic(self, wait_us: int) -> None:
+        """Read and use the changes of the operators; wait for the first.
+
+        Notify the domain of a change, and of the end of a wait.
+        """
         sent_us = boot_time_us()
         topic = self.mirror.topics[records.OPERATOR_TOPIC]
         page = await self._fetch(topic, wait_us // MILLISECOND_US)
         self._record_answer(sent_us)
-        if self._fold(topic, page):
+        is_changed = self._fold(topic, page)
+        if is_changed:
             self._apply_state('the store')
-            self._notify_domain()
         if page.is_last:
             # Without changes, the store answers after the wait.
             is_whole_wait = not page.records and not page.is_whole
             confirmed_us = sent_us + wait_us if is_whole_wait else sent_us
             self.mirror.freshness.confirm(min(confirmed_us, boot_time_us()))
-        return True
+        if is_changed or wait_us:
+            self._notify_domain()
 
     async def _keep_fresh(self) -> None:
         """Ask hosts elsewhere, then the store, when confirmations are late."""
--- a/foxtailreach/platform/long_poll.py
+++ b/foxtailreach/platform/long_poll.py
@@ -16,27 +16,26 @@
 class LongPoll:
     """The poll that is in flight, at most one."""
 
-    __slots__ = ('_call', '_due_us', '_is_abandoned', 'sent_us')
+    __slots__ = ('_call', '_due_us', '_is_abandoned', '_sent_us')
 
     def __init__(self) -> None:
         """Start without a poll."""
-        self.sent_us = 0
+        self._sent_us = 0
         self._due_us = 0
         self._is_abandoned = False
-        self._call: asyncio.Future[bool] | None = None
+        self._call: asyncio.Task[None] | None = None
 
-    async def run(self, call: Coroutine[Any, Any, bool], wait_us: int) -> bool:
-        """Return the result of a poll; False if it was abandoned."""
-        self.sent_us = boot_time_us()
-        self._due_us = self.sent_us + wait_us + ANSWER_DELAY_US
+    async def run(self, call: Coroutine[Any, Any, None], wait_us: int) -> None:
+        """Run a poll until it is answered or abandoned."""
+        self._sent_us = boot_time_us()
+        self._due_us = self._sent_us + wait_us + ANSWER_DELAY_US
         self._is_abandoned = False
-        self._call = asyncio.ensure_future(call)
+        self._call = asyncio.create_task(call)
         try:
-            return await self._call
+            await self._call
         except asyncio.CancelledError:
             if not self._is_abandoned:
                 raise
-            return False
         finally:
             self._call = None
 
@@ -46,7 +45,8 @@
         It is lost if the store did not answer before (`is_return`), or if the
         other call was sent after the answer to the poll was due.
         """
-        if self._call is None or sent_us <= self.sent_us:
+        is_own = self._call is asyncio.current_task()
+        if self._call is None or is_own or sent_us <= self._sent_us:
             return
         if is_return or sent_us > self._due_us:
             self._is_abandoned = True
