Let questions that hang not hold up the pull that a notice asks for

Found while reading the diff: three pulls to hosts that do not answer kept a host from following its own reader for up to 1 s. test_silent_hosts_hold_up_the_pull_from_another failed before.

--- a/foxtailreach/gateway/state_puller.py
+++ b/foxtailreach/gateway/state_puller.py
@@ -13,7 +13,7 @@
 from foxtailreach.gateway.peers import pull_state
 
 # A host that does not answer must not keep this host from asking others.
-MAX_PULLS = 3
+MAX_PULLS_TO_ASK = 3
 
 # Adopts the copy of a host, by its id, that was requested at a time in
 # microseconds.
@@ -21,7 +21,7 @@
 
 
 class StatePuller:
-    """Pulls from one host at most once, and from few hosts, at a time."""
+    """Pulls from several hosts, but at most once from each, at a time."""
 
     __slots__ = ('_mirror', '_node', '_noticed', '_on_copy', '_pulling')
 
@@ -36,6 +36,11 @@
         self._noticed: dict[str, tuple[messages.TopicVersion, ...]] = {}
         self._pulling: set[str] = set()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether enough hosts are being asked without a notice of theirs."""
+        return len(self._pulling) >= MAX_PULLS_TO_ASK
+
     async def pull_noticed(
         self, host_id: str, versions: tuple[messages.TopicVersion, ...]
     ) -> None:
@@ -60,8 +65,6 @@
         state = self._node.membership.hosts.get(host_id)
         if state is None or host_id in self._pulling:
             return False
-        if len(self._pulling) >= MAX_PULLS:
-            return False
         self._pulling.add(host_id)
         address = (state.entry.address, state.entry.peer_port)
         try:
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -305,7 +305,7 @@
         is_own_turn = self._questions % 2 == 0
         preferred = own if is_own_turn else remote
         candidates = preferred or own or remote
-        if not candidates:
+        if not candidates or self._puller.is_busy:
             return
         if await self._puller.pull(self._rng.choice(candidates)):
             self.mirror.freshness.record_answer(boot_time_us())
