--- a/foxtailreach/tests/platform/departed_targets_tests.py
+++ b/foxtailreach/tests/platform/departed_targets_tests.py
@@ -352,3 +352,33 @@
     monkeypatch.setattr(state_puller, 'pull_state', pull_copy)
     seen_s = run_reader(monkeypatch, measure)
     assert used_s - 0.5 <= seen_s <= used_s + 0.5
+
+
+def test_answer_undoes_a_copy_that_was_adopted_during_its_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store answers by its log of before a removal that a copy has."""
+    store = LoggedStore()
+    listed = tuple(store.log)
+    removal = KeyedRecord('t0', b'', len(listed))
+    source = records.create_mirror().topics[records.TARGETS_TOPIC]
+    source.replace(listed, len(listed))
+    source.fold([removal], len(listed) + 1)
+
+    async def measure(reader: Reader) -> float:
+        topic = reader.feed.mirror.topics[records.TARGETS_TOPIC]
+        topic.replace((), 0)
+
+        async def read(name: str, offset: int, wait_ms: int) -> TopicPage:
+            await asyncio.sleep(CALL_S + wait_ms / 1000)
+            if name == records.TARGETS_TOPIC:
+                topic.adopt(source.copy(-1))
+                return TopicPage(listed, len(listed))
+            return TopicPage((), offset)
+
+        monkeypatch.setattr(reader.store, 'read', read)
+        await asyncio.sleep(2)
+        assert 't1' in topic.records
+        return float('t0' in topic.records)
+
+    assert not run_reader(monkeypatch, measure)
