Take evidence from another broker for a request to its target

A host that takes over as broker had no grants, so that all targets looked idle to it and those in use a moment ago were covered before the idle ones. An answer that another broker saw now counts as a request of that time.

--- a/foxtailreach/core/dispatch/target_record.py
+++ b/foxtailreach/core/dispatch/target_record.py
@@ -217,7 +217,13 @@
             self._failed_send_us = max(self._failed_send_us, sent_us)
 
     def merge_evidence(self, last_served_us: int, last_failed_us: int) -> None:
-        """Merge newer evidence that another broker gathered."""
+        """Merge newer evidence that another broker gathered.
+
+        A target that gave an answer has had a request.
+        """
+        self.last_grant_us = max(
+            self.last_grant_us, last_served_us, last_failed_us
+        )
         self.last_served_us = max(self.last_served_us, last_served_us)
         if last_failed_us > self.last_failed_us:
             self.last_failed_us = last_failed_us
