Keep all targets in use that may be healthy by grants, not by outcomes

Callers saw over a tenth of their requests fail while up to half of the healthy targets got nothing for 2 s.

- Whether every part of the targets is kept in use depended on the outcomes that reports name: on their number, and on the share that failed.
Requests at lost hosts are in no report, and those of callers that left are not counted; a calm service has under 0.03 failed.
Now the number of grants decides, 1.6 a target in 1.5 s, and a broker that has just taken over extrapolates it.
- A target that failed was left out for 6 s (2 s and 4 s), while operators count it as healthy 2 s after its recovery, so in windows from 4 s after it.
The recovery time now follows the probes, so that three of four succeed, between 2 s and 5.5 s from 3 s on; short failures shorten it.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -15,6 +15,7 @@
 from foxtailreach.core.dispatch.budgets import RetryBudget, RetryPolicy
 from foxtailreach.core.dispatch.cover import (
     RecentOutcomes,
+    has_failed_last,
     lacks_fresh_evidence,
 )
 from foxtailreach.core.dispatch.deployment import ServiceSpec, TargetSpec
@@ -85,14 +86,15 @@
 class Lease:
     """A granted slot.
 
-    `is_probe` if its target had no fresh evidence, `is_repeat` if it is for a
-    retry.
+    `is_probe` if its target had no fresh evidence, `is_after_failure` if that
+    had failed last, `is_repeat` if the slot is for a retry.
     """
 
     grant: messages.SlotGrant
     granted_us: int
     expires_us: int
     is_probe: bool
+    is_after_failure: bool
     is_repeat: bool
 
 
@@ -137,7 +139,7 @@
         self._retry_budget = RetryBudget(policy)
         self._mean_service_us = float(DEFAULT_SERVICE_TIME_US)
         self._placement = PlacementState(now_us, DEFAULT_SERVICE_TIME_US)
-        self._outcomes = RecentOutcomes()
+        self._outcomes = RecentOutcomes(now_us)
         self._leases: dict[Holder, Lease] = {}
         self._last_check_us = now_us
         # Requests that were reported or withdrawn, the oldest first.
@@ -247,7 +249,11 @@
         if report.outcome not in _INCONCLUSIVE_OUTCOMES:
             is_served = report.outcome not in _FAILED_OUTCOMES
             if lease is not None and lease.is_probe:
-                self._outcomes.record_probe(now_us, is_served=is_served)
+                self._outcomes.record_probe(
+                    now_us,
+                    is_served=is_served,
+                    is_after_failure=lease.is_after_failure,
+                )
             else:
                 self._outcomes.record_request(now_us, is_served=is_served)
         return self._serve_queue(now_us)
@@ -451,7 +457,9 @@
         )
         holder = (waiter.host_id, slot_request.ask_id)
         is_probe = lacks_fresh_evidence(record, now_us)
+        is_after_failure = has_failed_last(record)
         record.grant(holder, now_us)
+        self._outcomes.record_grant(now_us)
         if slot_request.is_repeat:
             self._retry_budget.record_retry(now_us)
         grant = messages.SlotGrant(
@@ -464,7 +472,12 @@
             state_version=self._state_version,
         )
         self._leases[holder] = Lease(
-            grant, now_us, expires_us, is_probe, slot_request.is_repeat
+            grant=grant,
+            granted_us=now_us,
+            expires_us=expires_us,
+            is_probe=is_probe,
+            is_after_failure=is_after_failure,
+            is_repeat=slot_request.is_repeat,
         )
         return messages.SendHost(waiter.host_id, grant)
 
--- a/foxtailreach/core/dispatch/cover.py
+++ b/foxtailreach/core/dispatch/cover.py
@@ -46,16 +46,18 @@
 # A target that failed can be healthy again after this time; a success that is
 # older no longer proves that the target is healthy.
 HEALTHY_AFTER_US = 2 * SECOND_US
-# Nearly all failure periods have ended this long after a failure; they last
-# 2.7 s on average.
-FAILURE_PERIOD_END_US = 4 * SECOND_US
+# A target that failed counts again as one that may be healthy after a recovery
+# time. It is adapted so that about three of four probes after it succeed: each
+# success shortens it, each failure lengthens it.
+INITIAL_RECOVERY_US = 3 * SECOND_US
+MAX_RECOVERY_US = 5500 * MILLISECOND_US
+RECOVERY_PER_SUCCESS = 0.98
+RECOVERY_PER_FAILURE = 1.06
 # With this many requests per target in the window, each target that may be
 # healthy gets one, so that the floor holds among any part of them too.
-AMPLE_REQUESTS_PER_TARGET = 3.5
-# Above this share of failed requests, probes included, a disturbance can soon
-# bring the floor into force; then fewer requests per target are ample.
-DISTURBED_SHARE = 0.03
-AMPLE_WHILE_DISTURBED = 2.0
+AMPLE_REQUESTS_PER_TARGET = 1.6
+# The requests of a shorter time say too little about their rate.
+MIN_RATE_TIME_US = 300 * MILLISECOND_US
 # A failure that follows a success this closely is mostly a single error, not
 # the begin of a failure period.
 SINGLE_ERROR_WITHIN_US = 500 * MILLISECOND_US
@@ -70,14 +72,16 @@
     """Whether the coverage floor must be kept, and with which margin.
 
     `margin` is in standard errors; `unproven_probability` is the probability
-    that a target without fresh evidence is healthy; `is_failing` tells that
-    many requests fail, `is_ample` that there are enough for all targets.
+    that a target without fresh evidence is healthy, `recovery_us` the time
+    after a failure from which on it applies; `is_failing` tells that many
+    requests fail, `is_ample` that there are enough for all targets.
     """
 
     is_needed: bool = False
     is_ample: bool = False
     margin: float = 0
     unproven_probability: float = INITIAL_PROBE_SUCCESS**2
+    recovery_us: int = INITIAL_RECOVERY_US
     is_failing: bool = False
 
 
@@ -87,34 +91,55 @@
 
     ended_us: int
     is_served: bool
-    is_failed: bool
 
 
 class RecentOutcomes:
-    """Outcomes of the requests of the last seconds, refusals included."""
+    """Grants and outcomes of the last seconds, refusals included.
 
-    __slots__ = ('_outcomes', '_probe_success_rate')
+    The number of requests is that of the grants. Outcomes are fewer: those of
+    requests whose caller left, or whose host was lost, are not known.
+    """
+
+    __slots__ = (
+        '_granted_us',
+        '_outcomes',
+        '_probe_success_rate',
+        '_recovery_us',
+        '_started_us',
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, now_us: int) -> None:
         """Create a record without requests."""
+        self._started_us = now_us
+        self._granted_us: deque[int] = deque()
         self._outcomes: deque[_Outcome] = deque()
         self._probe_success_rate = INITIAL_PROBE_SUCCESS
+        self._recovery_us = float(INITIAL_RECOVERY_US)
+
+    def record_grant(self, now_us: int) -> None:
+        """Count a request that was granted a slot."""
+        self._granted_us.append(now_us)
 
     def record_request(self, now_us: int, *, is_served: bool) -> None:
         """Count a request and whether it was served."""
-        self._outcomes.append(
-            _Outcome(now_us, is_served, is_failed=not is_served)
-        )
+        self._outcomes.append(_Outcome(now_us, is_served))
 
-    def record_probe(self, now_us: int, *, is_served: bool) -> None:
+    def record_probe(
+        self, now_us: int, *, is_served: bool, is_after_failure: bool = False
+    ) -> None:
         """Update the success rate of targets without fresh evidence.
 
         The request counts as served, so that a failed probe does not cause
-        further probes.
+        further probes. If it was the first to its target after a failure, the
+        recovery time follows.
         """
-        self._outcomes.append(
-            _Outcome(now_us, is_served=True, is_failed=not is_served)
-        )
+        if is_after_failure:
+            factor = RECOVERY_PER_SUCCESS if is_served else RECOVERY_PER_FAILURE
+            self._recovery_us = min(
+                MAX_RECOVERY_US,
+                max(HEALTHY_AFTER_US, self._recovery_us * factor),
+            )
+        self._outcomes.append(_Outcome(now_us, is_served=True))
         change = is_served - self._probe_success_rate
         self._probe_success_rate += PROBE_SUCCESS_GAIN * change
 
@@ -123,34 +148,35 @@
         horizon_us = now_us - FAILING_WINDOW_US
         while self._outcomes and self._outcomes[0].ended_us < horizon_us:
             self._outcomes.popleft()
-        count = len(self._outcomes)
-        if count < MIN_REQUESTS_PER_TARGET * targets:
+        requests_per_target = self._requests(now_us) / max(1, targets)
+        if requests_per_target < MIN_REQUESTS_PER_TARGET:
             return CoverageDemand()
         unserved = sum(not outcome.is_served for outcome in self._outcomes)
-        unserved_share = unserved / max(MIN_REQUESTS, count)
-        failed = sum(outcome.is_failed for outcome in self._outcomes)
-        failed_share = failed / max(MIN_REQUESTS, count)
+        unserved_share = unserved / max(MIN_REQUESTS, len(self._outcomes))
         margin = MARGIN_PER_UNSERVED_SHARE * unserved_share
         return CoverageDemand(
             is_needed=True,
-            is_ample=_is_ample(count / max(1, targets), failed_share),
+            is_ample=requests_per_target >= AMPLE_REQUESTS_PER_TARGET,
             margin=min(MAX_MARGIN, max(MIN_MARGIN, margin)),
             # A healthy target succeeds now and did so a while ago.
             unproven_probability=self._probe_success_rate**2,
+            recovery_us=int(self._recovery_us),
             is_failing=unserved_share > FAILING_SHARE,
         )
 
+    def _requests(self, now_us: int) -> float:
+        """Return how many requests the window holds at their present rate.
 
-def _is_ample(requests_per_target: float, failed_share: float) -> bool:
-    """Tell whether each target that may be healthy gets a request.
-
-    The estimate counts an idle target with a low probability, so the floor over
-    all targets can be kept without those that have been idle for long. Such
-    targets are most of the ones that a disturbance leaves.
-    """
-    if failed_share > DISTURBED_SHARE:
-        return requests_per_target >= AMPLE_WHILE_DISTURBED
-    return requests_per_target >= AMPLE_REQUESTS_PER_TARGET
+        A broker that has just taken over has seen a part of the window only.
+        """
+        horizon_us = now_us - FAILING_WINDOW_US
+        while self._granted_us and self._granted_us[0] < horizon_us:
+            self._granted_us.popleft()
+        seen_us = min(
+            FAILING_WINDOW_US,
+            max(MIN_RATE_TIME_US, now_us - self._started_us),
+        )
+        return len(self._granted_us) * FAILING_WINDOW_US / seen_us
 
 
 def underused_targets(
@@ -160,12 +186,13 @@
     *,
     is_probe: bool = False,
 ) -> list[TargetRecord]:
-    """List the targets that need a request, the likeliest healthy ones first.
+    """List the targets that need a request, the most urgent ones first.
 
-    While requests are ample, these are all that may be healthy. Otherwise
-    return an empty list while enough of the healthy targets are in use. For a
-    probe that is all of them: it costs only a retry, keeps the evidence fresh,
-    and a loss of hosts leaves no time to widen the use.
+    While requests are ample, these are all that may be healthy, those idle for
+    longest first. Otherwise the likeliest healthy ones come first, and the list
+    is empty while enough of the healthy targets are in use. For a probe that is
+    all of them: it costs only a retry, keeps the evidence fresh, and a loss of
+    hosts leaves no time to widen the use.
     """
     if not demand.is_needed:
         return []
@@ -183,17 +210,15 @@
     used = total - sum(probability for probability, _ in idle)
     if not is_probe and used >= _required_share(total, demand) * total:
         idle = [pair for pair in idle if _is_due(pair[1], demand, now_us)]
-    idle.sort(
-        key=lambda pair: (
-            pair[0],
-            pair[1].last_served_us,
-            -pair[1].last_failed_us,
-        ),
-        reverse=True,
-    )
+    idle.sort(key=_likelihood, reverse=True)
     return [record for _, record in idle]
 
 
+def has_failed_last(record: TargetRecord) -> bool:
+    """Tell whether nothing has succeeded since the target failed."""
+    return record.last_failed_us > record.last_served_us
+
+
 def lacks_fresh_evidence(record: TargetRecord, now_us: int) -> bool:
     """Tell whether a request to the target would be a probe."""
     served_last = record.last_served_us > record.last_failed_us
@@ -208,8 +233,8 @@
     """Estimate the probability that a target has been healthy for a while.
 
     It is 0 for `HEALTHY_AFTER_US` after a failure. Without a success since
-    then, it rises linearly to `unproven_probability` within a further
-    `FAILURE_PERIOD_END_US`, after a single error at once.
+    then, it rises linearly to `unproven_probability` until the recovery time
+    has passed, after a single error at once.
     """
     failed_age_us = now_us - record.last_failed_us
     if failed_age_us < HEALTHY_AFTER_US:
@@ -220,8 +245,17 @@
         return demand.unproven_probability
     if _is_single_error(record):
         return demand.unproven_probability
-    ended_share = (failed_age_us - HEALTHY_AFTER_US) / FAILURE_PERIOD_END_US
-    return min(1, ended_share) * demand.unproven_probability
+    if failed_age_us >= demand.recovery_us:
+        return demand.unproven_probability
+    ended_share = (failed_age_us - HEALTHY_AFTER_US) / (
+        demand.recovery_us - HEALTHY_AFTER_US
+    )
+    return ended_share * demand.unproven_probability
+
+
+def _likelihood(pair: tuple[float, TargetRecord]) -> tuple[float, int, int]:
+    probability, record = pair
+    return probability, record.last_served_us, -record.last_failed_us
 
 
 def _is_due(record: TargetRecord, demand: CoverageDemand, now_us: int) -> bool:
@@ -232,8 +266,7 @@
         return True
     if _is_single_error(record):
         return True
-    failed_age_us = now_us - record.last_failed_us
-    return failed_age_us >= HEALTHY_AFTER_US + FAILURE_PERIOD_END_US
+    return now_us - record.last_failed_us >= demand.recovery_us
 
 
 def _is_single_error(record: TargetRecord) -> bool:
