Decode entries of the store, messages and headers to usable values or nothing

Another writer's odd entry among the targets ended the processes that read the list, or was put in use. Two records of the log, one with a key that is no text and an empty one, refused the whole page again at each read: the host stopped following.

Class: decoding that is not total, with two lists of errors for one job. Fields are now read in one place, with bounds; an odd entry is skipped alone, counted (malformed_entries) and logged at most every 5 s. Looked for elsewhere and changed: registrations of hosts, pages of the list, texts and versions of the configuration, settings, addresses in announcements (a port over 65535 closed the socket of the peers for good), messages that lack a field, Keep-Alive and Content-Length with thousands of digits, the time left of callers, answers of the stand-alone platform. An odd entry no longer orders the true ones behind it.

--- a/foxtailreach/daemon/edge.py
+++ b/foxtailreach/daemon/edge.py
@@ -433,8 +433,8 @@
 
 
 def _timeout_us(headers: httputil.HTTPHeaders) -> int | None:
-    text = headers.get(fields.TIMEOUT_HEADER, '')
-    return int(text) * _US_PER_MS if text.isdigit() else None
+    timeout_ms = fields.parse_number(headers.get(fields.TIMEOUT_HEADER, ''))
+    return None if timeout_ms is None else timeout_ms * _US_PER_MS
 
 
 def _fingerprint(head: RequestHead, idempotency_key: str) -> int:
--- a/foxtailreach/daemon/headers.py
+++ b/foxtailreach/daemon/headers.py
@@ -19,6 +19,7 @@
 TIMEOUT_HEADER = 'Foxtailreach-Timeout-Ms'
 KEY_HEADER = 'X-Api-Key'
 BEARER_PREFIX = 'bearer '
+MAX_NUMBER_DIGITS = 15
 CHUNKED_LENGTH = -1
 
 _HOP_BY_HOP = frozenset(
@@ -86,8 +87,15 @@
     if not lengths:
         return 0
     (length, *others) = lengths
-    is_number = length.isascii() and length.isdigit()
-    return int(length) if is_number and not others else None
+    return None if others else parse_number(length)
+
+
+def parse_number(text: str) -> int | None:
+    """Return a number of ASCII digits; None if it is none or too long."""
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > MAX_NUMBER_DIGITS:
+        return None
+    return int(text)
 
 
 def size_bytes(headers: HTTPHeaders) -> int:
--- a/foxtailreach/daemon/platform.py
+++ b/foxtailreach/daemon/platform.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +18,13 @@
 STREAM = 'foxtailreach'
 MAX_RECORDS = 500
 _MS_PER_S = 1000
+_DECODE_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,14 +65,15 @@
         """
         path = f'/streams/{STREAM}?from={next_offset}&limit={MAX_RECORDS}'
         page = await self._fetch('GET', path)
-        return LogRead(
-            records=tuple(
-                LogRecord(entry['offset'], entry['payload'].encode())
-                for entry in page['records']
-            ),
-            first_offset=page['first_offset'],
-            next_offset=page['next_offset'],
-        )
+        with self._refuse_malformed():
+            return LogRead(
+                records=tuple(
+                    LogRecord(int(entry['offset']), entry['payload'].encode())
+                    for entry in page['records']
+                ),
+                first_offset=int(page['first_offset']),
+                next_offset=int(page['next_offset']),
+            )
 
     async def append(self, payload: bytes) -> int:
         """Append a record and return its offset.
@@ -71,7 +81,8 @@
         The record may exist even if PlatformUnavailableError is raised.
         """
         page = await self._fetch('POST', f'/streams/{STREAM}', payload)
-        return int(page['offset'])
+        with self._refuse_malformed():
+            return int(page['offset'])
 
     async def hosts(self) -> HostsListed:
         """Read the host list.
@@ -79,9 +90,20 @@
         Raises PlatformUnavailableError if the platform does not answer.
         """
         page = await self._fetch('GET', '/hosts')
-        return HostsListed(
-            tuple(HostEntry(**entry) for entry in page['hosts']),
-        )
+        with self._refuse_malformed():
+            return HostsListed(
+                tuple(HostEntry(**entry) for entry in page['hosts']),
+            )
+
+    @contextmanager
+    def _refuse_malformed(self) -> Iterator[None]:
+        """Turn the errors of decoding an answer into the one of the client."""
+        try:
+            yield
+        except _DECODE_ERRORS as error:
+            raise PlatformUnavailableError(
+                f'malformed answer of {self._address.url}: {error!r}',
+            ) from error
 
     async def _fetch(
         self,
@@ -105,7 +127,7 @@
             ) from error
         try:
             return json.loads(response.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise PlatformUnavailableError(
                 f'the platform at {self._address.url} sent no JSON',
             ) from error
--- a/foxtailreach/daemon/upstream.py
+++ b/foxtailreach/daemon/upstream.py
@@ -18,6 +18,7 @@
     CUSTOMER_HEADER,
     DEADLINE_HEADER,
     answer_headers,
+    parse_number,
 )
 from foxtailreach.daemon.pipes import BodyPipe
 from foxtailreach.daemon.sinks import AnswerSink
@@ -248,8 +249,8 @@
     def _fits_buffer(self, status: int) -> bool:
         if self._start.head.method == 'HEAD' or status in _BODILESS_STATUSES:
             return True
-        length = self._headers.get('Content-Length', '')
-        return length.isdigit() and int(length) <= MAX_BUFFERED_ANSWER_BYTES
+        length = parse_number(self._headers.get('Content-Length', ''))
+        return length is not None and length <= MAX_BUFFERED_ANSWER_BYTES
 
     def _write(self, chunk: bytes) -> int | None:
         if self.is_cancelled or not self.is_relayed:
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -247,6 +247,8 @@
             'config_faults': self._config_faults(),
             'targets': len(self._node.targets),
             'store_calls': self._feed.store_calls,
+            'malformed_entries': self._feed.malformed_entries,
+            'malformed_messages': self._peers.malformed,
             'hosts_usable': len(self._node.membership.usable_hosts()),
             'hosts_known': len(self._node.membership.hosts),
             'body_memory_bytes': self._bodies.held_bytes,
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -13,6 +13,7 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 _US_PER_HUNDREDTH_S = 10_000
+MAX_NUMBER_DIGITS = 18
 # Hop-by-hop headers, and those that the gateway handles or sets itself.
 _HOP_BY_HOP = frozenset(
     (
@@ -124,6 +125,16 @@
     is_known_as_left: bool = False
 
 
+def bounded_number(digits: bytes | str, highest: int) -> int:
+    """Return the number that ASCII digits stand for, at most `highest`.
+
+    A header may have more digits than `int` accepts.
+    """
+    if len(digits) > MAX_NUMBER_DIGITS:
+        return highest
+    return min(highest, int(digits))
+
+
 def find_header(headers: RawHeaders, name: bytes) -> bytes:
     """Return the first value of a header, or b''."""
     for header, text in headers:
--- a/foxtailreach/gateway/peers.py
+++ b/foxtailreach/gateway/peers.py
@@ -15,9 +15,10 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.mirror import StateMirror
 from foxtailreach.core.messages import HostEntry
-from foxtailreach.core.units import MILLISECOND_US
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.exceptions import ProtocolError
+from foxtailreach.gateway.settings import is_usable_address
 from foxtailreach.rpc.fleet import FLEET_CODEC
 from foxtailreach.rpc.mapping import FrameBuffer
 
@@ -40,6 +41,7 @@
 
 # An unknown host is asked to announce itself once in this time.
 ASK_UNKNOWN_INTERVAL_US = 500 * MILLISECOND_US
+LOG_MALFORMED_INTERVAL_US = 5 * SECOND_US
 
 Receive = Callable[[str, messages.FleetMessage], None]
 Announce = Callable[[], messages.HostAnnounced]
@@ -66,6 +68,8 @@
         self._host_ids: dict[tuple[str, int], str] = {}
         self.sent = 0
         self.received = 0
+        self.malformed = 0
+        self._malformed_logged_us = -LOG_MALFORMED_INTERVAL_US
 
     async def open(self, address: str, port: int) -> None:
         """Bind the socket."""
@@ -82,7 +86,13 @@
             self._transport.close()
 
     def add_host(self, entry: HostEntry) -> None:
-        """Store the address of a host."""
+        """Store the address of a host, if datagrams can be sent to it.
+
+        The transport closes for good if it is given a malformed address.
+        """
+        if not is_usable_address(entry.address, entry.peer_port):
+            self._record_malformed(f'address of host {entry.host_id!r}')
+            return
         address = (entry.address, entry.peer_port)
         self._addresses[entry.host_id] = address
         self._host_ids[address] = entry.host_id
@@ -120,8 +130,8 @@
         """Decode a datagram and deliver it if its sender is known."""
         try:
             message = FLEET_CODEC.decode(data[LENGTH_BYTES:])
-        except (ProtocolError, ValueError) as error:
-            logger.warning('malformed datagram from {}: {}', addr, error)
+        except ProtocolError as error:
+            self._record_malformed(f'datagram from {addr}: {error}')
             return
         self.received += 1
         match message:
@@ -136,6 +146,16 @@
         else:
             self._receive(host_id, message)
 
+    def _record_malformed(self, detail: str) -> None:
+        """Count a malformed message, and log it at a limited rate."""
+        self.malformed += 1
+        now_us = boot_time_us()
+        if now_us - self._malformed_logged_us >= LOG_MALFORMED_INTERVAL_US:
+            self._malformed_logged_us = now_us
+            logger.bind(count=self.malformed).warning(
+                'malformed message: {}', detail
+            )
+
     def _ask_unknown(self, address: tuple[str, int]) -> None:
         """Ask the host at an address to announce itself, at a limited rate."""
         now_us = boot_time_us()
--- a/foxtailreach/gateway/request_reader.py
+++ b/foxtailreach/gateway/request_reader.py
@@ -24,6 +24,7 @@
     CallerRequest,
     HeaderNames,
     RawHeaders,
+    bounded_number,
     find_header,
     refusal,
 )
@@ -31,6 +32,7 @@
 READ_BYTES = 65_536
 # Time limit for requests without a deadline header.
 DEFAULT_TIME_LEFT_US = 30 * SECOND_US
+MAX_TIME_LEFT_MS = 24 * 3600 * 1000
 # A body is held twice for a moment, when its parts are joined.
 BODY_COPIES = 2
 BODY_RETRY_AFTER_US = SECOND_US
@@ -209,7 +211,8 @@
         left_ms = find_header(headers, header_names.time_left_ms)
         time_left_us = DEFAULT_TIME_LEFT_US
         if left_ms.isdigit():
-            time_left_us = int(left_ms) * MILLISECOND_US
+            time_left_us = bounded_number(left_ms, MAX_TIME_LEFT_MS)
+            time_left_us *= MILLISECOND_US
         return CallerRequest(
             method=bytes(head.method),
             path=bytes(head.target),
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import dataclass
 
 from foxtailreach.core.dispatch.budgets import RetryPolicy
@@ -9,6 +10,10 @@
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import MILLISECOND_US
 
+MAX_PORT = 65_535
+# Multicast and reserved addresses begin here; no host listens on those.
+FIRST_RESERVED_OCTET = 224
+
 
 @dataclass(slots=True, frozen=True)
 class Address:
@@ -18,6 +23,15 @@
     port: int
 
 
+def is_usable_address(host: str, port: int) -> bool:
+    """Tell whether a connection to a port of an IPv4 address can be tried."""
+    try:
+        octets = socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return 0 < octets[0] < FIRST_RESERVED_OCTET and 0 < port <= MAX_PORT
+
+
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
     """Identity, listening addresses and limits of one host.
--- a/foxtailreach/gateway/state_feed.py
+++ b/foxtailreach/gateway/state_feed.py
@@ -29,6 +29,10 @@
     def store_calls(self) -> int:
         """Number of calls made to the platform's store."""
 
+    @property
+    def malformed_entries(self) -> int:
+        """Number of entries that could not be decoded."""
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
 
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -50,7 +50,8 @@
 _SUCCESS = range(200, 300)
 _MISDIRECTED = 421
 _SERVER_ERROR = 500
-_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+# More digits would be years.
+_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
 HasLeft = Callable[[SlotGrant], bool]
 
--- a/foxtailreach/platform/configuration.py
+++ b/foxtailreach/platform/configuration.py
@@ -10,6 +10,7 @@
 
 import json
 import math
+import re
 from collections.abc import Iterable
 from dataclasses import replace
 from typing import Any, TypeVar
@@ -28,6 +29,7 @@
 )
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.exceptions import ConfigurationError
+from foxtailreach.platform.fields import is_usable_text
 
 _KINDS = {
     'safe': RequestKind.IDEMPOTENT,
@@ -37,6 +39,8 @@
 }
 _RESOURCE_TYPES = frozenset(('routes', 'services', 'tenants', 'limits'))
 _HEX_BASE = 16
+# 63 bits at most.
+_VERSION = re.compile('0*[0-9a-fA-F]{1,15}')
 # Larger numbers do not fit into the messages between hosts.
 MAX_NUMBER = 10**9
 DEFAULT_OBJECTIVE_MS = 1000
@@ -78,7 +82,7 @@
         if isinstance(resource_type, str):
             self.resource_type = resource_type
         name = _as_table(table.get('metadata')).get('name')
-        self.name = name if isinstance(name, str) else ''
+        self.name = name if isinstance(name, str) and _is_text(name) else ''
         self._spec = _as_table(table.get('spec'))
         if self.resource_type not in _RESOURCE_TYPES:
             self.report('resource_type', 'the resource is ignored')
@@ -103,8 +107,8 @@
     def text(self, field_name: str, effect: str) -> str:
         """Return a text, or '' if the field holds none."""
         found = self.raw(field_name)
-        if isinstance(found, str) and found:
-            return found
+        if _is_text(found):
+            return str(found)
         self.report(field_name, effect)
         return ''
 
@@ -177,10 +181,9 @@
 def _version(text: Any) -> int:
     if not isinstance(text, str):
         raise ConfigurationError('version is not a text')
-    try:
-        return int(text, _HEX_BASE)
-    except ValueError as error:
-        raise ConfigurationError(f'version {text!r} is not a number') from error
+    if not _VERSION.fullmatch(text):
+        raise ConfigurationError(f'version {text!r:.80} is not a number')
+    return int(text, _HEX_BASE)
 
 
 def _route(resource: _Resource) -> RouteSpec | None:
@@ -241,7 +244,7 @@
 def _share(part: dict[Any, Any]) -> ServiceShare | None:
     service: Any = part.get('service')
     weight: Any = part.get('weight')
-    if not isinstance(service, str) or not service:
+    if not isinstance(service, str) or not _is_text(service):
         return None
     if not _is_number(weight) or not 0 <= weight <= MAX_NUMBER:
         return None
@@ -286,7 +289,7 @@
     if listed is MISSING:
         return []
     entries = listed if isinstance(listed, list) else [listed]
-    keys = [key for key in entries if isinstance(key, str) and key]
+    keys = [key for key in entries if _is_text(key)]
     if keys != listed:
         resource.report('api_keys', 'keys that are not texts are left out')
     return keys
@@ -318,6 +321,10 @@
     return found if isinstance(found, dict) else {}
 
 
+def _is_text(found: Any) -> bool:
+    return isinstance(found, str) and is_usable_text(found)
+
+
 def _is_empty_list(found: Any) -> bool:
     return isinstance(found, list) and not found
 
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -41,6 +41,7 @@
 from foxtailreach.gateway.state_puller import StatePuller
 from foxtailreach.platform import records
 from foxtailreach.platform.long_poll import LongPoll
+from foxtailreach.platform.malformed import MALFORMED
 from foxtailreach.platform.store import StoreClient, TopicPage
 
 # A draining target must get no requests from 2 s after its record is in the
@@ -128,6 +129,11 @@
         """Number of calls made to the platform's store."""
         return self._store.calls
 
+    @property
+    def malformed_entries(self) -> int:
+        """Number of entries of the store that could not be decoded."""
+        return MALFORMED.counts.total()
+
     def age_us(self, now_us: int) -> int:
         """Return the time since the newest read by this host or the reader.
 
--- a/foxtailreach/platform/records.py
+++ b/foxtailreach/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from functools import lru_cache
 from typing import Any
@@ -23,9 +24,17 @@
 )
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import MILLISECOND_US
-from foxtailreach.exceptions import ConfigurationError
+from foxtailreach.exceptions import ConfigurationError, ProtocolError
+from foxtailreach.gateway.settings import MAX_PORT, is_usable_address
 from foxtailreach.platform.configuration import decode_configuration
-from foxtailreach.platform.settings import parse_address
+from foxtailreach.platform.fields import (
+    is_usable_text,
+    parse_object,
+    read_address,
+    read_integer,
+    read_text,
+)
+from foxtailreach.platform.malformed import MALFORMED
 
 OPERATOR_TOPIC = 'keyed.op'
 TARGETS_TOPIC = 'keyed.servers'
@@ -34,7 +43,12 @@
 EVACUATION_PREFIX = 'evacuate/'
 # Decoded entries of hosts and targets that are kept.
 MAX_CACHED_ENTRIES = 4096
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+MAX_SLOTS = 10_000
+MAX_WARM_UP_MS = 3_600_000
+MAX_CAPACITY = 1_000_000
+# Unix milliseconds far in the future, and more heartbeats than a target sends.
+MAX_STARTED_MS = 10**14
+MAX_HEARTBEATS = 10**12
 # Weight of a customer's priority, which takes precedence over the route's.
 CUSTOMER_PRIORITY_WEIGHT = 1000
 
@@ -156,20 +170,27 @@
 @lru_cache(maxsize=MAX_CACHED_ENTRIES)
 def _decode_host(payload: bytes) -> HostAnnounced | None:
     try:
-        fields = json.loads(payload)
-        entry = HostEntry(
-            host_id=_string(fields, 'host_id'),
-            domain=_string(fields, 'domain'),
-            address=_string(fields, 'address'),
-            peer_port=_unsigned_integer(fields, 'peer_port'),
-            capacity=_unsigned_integer(fields, 'capacity'),
-        )
-        return HostAnnounced(entry, _unsigned_integer(fields, 'incarnation'))
-    except _DECODE_ERRORS as error:
-        logger.warning('malformed host registration: {!r}', error)
+        return _read_host(parse_object(payload))
+    except ProtocolError as error:
+        MALFORMED.record(HOSTS_TOPIC, '', error)
         return None
 
 
+def _read_host(fields: Mapping[str, Any]) -> HostAnnounced:
+    host = read_text(fields, 'address')
+    port = read_integer(fields, 'peer_port', 1, MAX_PORT)
+    if not is_usable_address(host, port):
+        raise ProtocolError('address is no usable address')
+    entry = HostEntry(
+        host_id=read_text(fields, 'host_id'),
+        domain=read_text(fields, 'domain'),
+        address=host,
+        peer_port=port,
+        capacity=read_integer(fields, 'capacity', 0, MAX_CAPACITY),
+    )
+    return HostAnnounced(entry, read_integer(fields, 'incarnation'))
+
+
 @dataclass(slots=True, frozen=True)
 class _TargetEntry:
     """The decoded entry of a target; None for what is malformed.
@@ -177,53 +198,57 @@
     `order` is process start and heartbeat counter, which order entries.
     """
 
-    target: TargetSpec | None
-    order: tuple[int, int] | None
+    target: TargetSpec | None = None
+    order: tuple[int, int] | None = None
 
 
 @lru_cache(maxsize=MAX_CACHED_ENTRIES)
 def _decode_entry(target_id: str, payload: bytes) -> _TargetEntry:
-    """Decode an entry once, as a change of any other decodes all of them."""
-    target: TargetSpec | None = None
-    order: tuple[int, int] | None = None
+    """Decode an entry once, as a change of any other decodes all of them.
+
+    A malformed entry has no order, so that the next one replaces it.
+    """
     try:
-        fields = json.loads(payload)
-        order = _started_ms(fields), _unsigned_integer(fields, 'sequence')
-    except _DECODE_ERRORS as error:
-        logger.debug('target {} has no order: {!r}', target_id, error)
+        fields = parse_object(payload)
+        target = _decode_target(target_id, fields)
+    except ProtocolError as error:
+        MALFORMED.record(TARGETS_TOPIC, target_id, error)
+        return _TargetEntry()
     try:
-        target = _decode_target(target_id, json.loads(payload))
-    except _DECODE_ERRORS as error:
-        logger.debug('malformed entry of target {}: {!r}', target_id, error)
-    return _TargetEntry(target, order)
-
-
-def _decode_target(target_id: str, fields: Any) -> TargetSpec:
-    address = parse_address(_string(fields, 'address'))
-    state = _string(fields, 'state')
+        heartbeats = read_integer(fields, 'sequence', 0, MAX_HEARTBEATS)
+    except ProtocolError as error:
+        MALFORMED.record(TARGETS_TOPIC, target_id, error)
+        return _TargetEntry(target)
+    return _TargetEntry(target, (target.started_ms, heartbeats))
+
+
+def _decode_target(target_id: str, fields: Mapping[str, Any]) -> TargetSpec:
+    if not is_usable_text(target_id):
+        raise ProtocolError('the id is no usable text')
+    address = read_address(fields, 'address')
+    state = read_text(fields, 'state')
     if state not in {'ready', 'draining'}:
-        raise ValueError(f'unknown target state {state!r}')
-    slots = _unsigned_integer(fields, 'slots')
-    if slots < 1:
-        raise ValueError('slots must be at least 1')
+        raise ProtocolError(f'unknown target state {state!r}')
+    warm_up_ms = read_integer(fields, 'warmup_left_ms', 0, MAX_WARM_UP_MS)
     return TargetSpec(
         target_id=target_id,
-        service=_string(fields, 'service'),
-        domain=_string(fields, 'zone'),
+        service=read_text(fields, 'service'),
+        domain=read_text(fields, 'zone'),
         address=address.host,
         port=address.port,
-        slots=slots,
+        slots=read_integer(fields, 'slots', 1, MAX_SLOTS),
         is_draining=state == 'draining',
         # Time until the end of the warm-up, not until the target stops.
-        warm_up_left_us=_unsigned_integer(fields, 'warmup_left_ms')
-        * MILLISECOND_US,
+        warm_up_left_us=warm_up_ms * MILLISECOND_US,
         started_ms=_started_ms(fields),
     )
 
 
-def _started_ms(fields: Any) -> int:
+def _started_ms(fields: Mapping[str, Any]) -> int:
     """Return the wall-clock time of a target's start; 0 if it names none."""
-    return _unsigned_integer(fields, 'born') if 'born' in fields else 0
+    if 'born' not in fields:
+        return 0
+    return read_integer(fields, 'born', 0, MAX_STARTED_MS)
 
 
 def _with_warm_up_of(spec: TargetSpec, other: TargetSpec) -> TargetSpec:
@@ -239,17 +264,3 @@
             'configuration refused, the last good one stays: {}', error
         )
         return None
-
-
-def _string(fields: Any, name: str) -> str:
-    value = fields[name]
-    if not isinstance(value, str) or not value:
-        raise TypeError(f'{name} must be a non-empty string')
-    return value
-
-
-def _unsigned_integer(fields: Any, name: str) -> int:
-    value = fields[name]
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise TypeError(f'{name} must be a non-negative integer')
-    return value
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -26,7 +26,15 @@
 BODY_MEMORY_SHARE = 0.4
 CAPACITY_PER_CORE = 100
 BYTES_PER_MB = 1024 * 1024
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError)
+MAX_PORT_DIGITS = 5
+_DECODE_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 
 def settings_path() -> Path:
@@ -49,7 +57,7 @@
         table = tomllib.loads(path.read_text(encoding='utf-8'))
     except OSError as error:
         raise SettingsError(f'{path}: {error.strerror}') from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f'{path}: invalid TOML: {error}') from error
     try:
         return decode_settings(table)
@@ -108,6 +116,8 @@
     host, separator, port = text.rpartition(':')
     if not separator or not host:
         raise ValueError(f'{text!r} is not of the form host:port')
+    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        raise ValueError(f'{text!r} has no port')
     return Address(host, int(port))
 
 
--- a/foxtailreach/platform/store.py
+++ b/foxtailreach/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import json
 import socket
 import struct
 from collections.abc import Iterator
@@ -19,8 +18,16 @@
 from foxtailreach.exceptions import (
     HistoryTrimmedError,
     PlatformUnavailableError,
+    ProtocolError,
 )
 from foxtailreach.gateway.settings import Address
+from foxtailreach.platform.fields import (
+    is_usable_text,
+    parse_object,
+    read_integer,
+    read_text,
+)
+from foxtailreach.platform.malformed import MALFORMED
 
 # The store answers within 4 ms, and up to 70 times slower at its worst.
 CALL_TIMEOUT_S = 1.0
@@ -28,6 +35,7 @@
 MAX_CLIENTS = 8
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 TOPIC_PARTITION = 0
+MAX_LOGGED_LENGTH = 200
 _LENGTH = struct.Struct('!I')
 _PAGE_HEADER = struct.Struct('!QQ')
 _GONE = 410
@@ -84,8 +92,8 @@
         if answer.code == _GONE:
             raise HistoryTrimmedError(f'{topic} was trimmed past {offset}')
         try:
-            return _decode_page(answer.body, offset)
-        except (struct.error, IndexError, UnicodeDecodeError) as error:
+            return _decode_page(topic, answer.body, offset)
+        except (struct.error, IndexError) as error:
             raise PlatformUnavailableError(
                 f'malformed records of {topic}: {error!r}',
             ) from error
@@ -102,16 +110,16 @@
         while True:
             answer = await self._call('log-newest', query)
             try:
-                page = json.loads(answer.body)
-                records.extend(_decode_entry(entry) for entry in page['items'])
-                end = end or int(page['end'])
-            except (ValueError, KeyError, TypeError) as error:
+                page = _decode_list(topic, answer.body, query.get('after', ''))
+            except ProtocolError as error:
                 raise PlatformUnavailableError(
-                    f'malformed list of {topic}: {error!r}',
+                    f'malformed list of {topic}: {error}',
                 ) from error
-            if not page.get('more') or not records:
+            records.extend(page.records)
+            end = end or page.end
+            if not page.next_key:
                 return TopicPage(tuple(records), end, is_whole=True)
-            query['after'] = records[-1].key
+            query['after'] = page.next_key
 
     async def append(self, topic: str, key: str, payload: bytes) -> None:
         """Append a new value of a key.
@@ -166,26 +174,36 @@
         return [(socket.AF_INET, (host, port))]
 
 
-def _decode_page(body: bytes, offset: int) -> TopicPage:
+def _decode_page(topic: str, body: bytes, offset: int) -> TopicPage:
     end, first = _PAGE_HEADER.unpack_from(body)
-    records = []
-    for position, frame in enumerate(_split_records(body[_PAGE_HEADER.size :])):
-        key_end = 1 + frame[0]
-        records.append(
-            KeyedRecord(
-                key=frame[1:key_end].decode(),
-                payload=frame[key_end:],
-                offset=offset + position,
-            ),
-        )
     del first
-    next_offset = offset + len(records)
+    records = []
+    next_offset = offset
+    for frame in _split_records(body[_PAGE_HEADER.size :]):
+        record = _decode_frame(topic, frame, next_offset)
+        next_offset += 1
+        if record is not None:
+            records.append(record)
     # The size of an answer is limited.
     return TopicPage(
         tuple(records), next_offset, is_last=next_offset >= int(end)
     )
 
 
+def _decode_frame(topic: str, frame: bytes, offset: int) -> KeyedRecord | None:
+    """Decode a record of the log; None if it names no usable key."""
+    key_end = 1 + sum(frame[:1])
+    try:
+        key = frame[1:key_end].decode()
+    except UnicodeDecodeError as error:
+        MALFORMED.record(topic, repr(frame[:key_end]), error)
+        return None
+    if len(frame) < key_end or not is_usable_text(key):
+        MALFORMED.record(topic, key, ProtocolError('the key cannot be used'))
+        return None
+    return KeyedRecord(key, frame[key_end:], offset)
+
+
 def _split_records(stream: bytes) -> Iterator[bytes]:
     position = 0
     while position < len(stream):
@@ -197,9 +215,56 @@
         position += size
 
 
-def _decode_entry(entry: dict[str, Any]) -> KeyedRecord:
+@dataclass(slots=True, frozen=True)
+class _ListPage:
+    """A page of the newest records; `next_key` is '' if it is the last one."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+    next_key: str
+
+
+def _decode_list(topic: str, body: bytes, after: str) -> _ListPage:
+    """Decode a page of the list after a key; skip odd entries in it.
+
+    Raises ProtocolError if it is no page, or if no further page can follow.
+    """
+    page = parse_object(body)
+    entries = page.get('items')
+    if not isinstance(entries, list):
+        raise ProtocolError('items is not a list')
+    records = [_decode_item(topic, entry) for entry in entries]
+    next_key = _last_key(entries) if page.get('more') else ''
+    if page.get('more') and next_key in {'', after}:
+        raise ProtocolError('no key leads to the next page')
+    return _ListPage(
+        tuple(record for record in records if record is not None),
+        read_integer(page, 'end'),
+        next_key,
+    )
+
+
+def _last_key(entries: list[Any]) -> str:
+    """Return the key of the last entry, '' if it has none."""
+    last = entries[-1] if entries else None
+    key = last.get('key') if isinstance(last, dict) else None
+    is_encodable = isinstance(key, str) and key.isprintable()
+    return str(key) if is_encodable else ''
+
+
+def _decode_item(topic: str, entry: Any) -> KeyedRecord | None:
+    try:
+        return _decode_entry(entry)
+    except (ProtocolError, ValueError, TypeError) as error:
+        MALFORMED.record(topic, repr(entry)[:MAX_LOGGED_LENGTH], error)
+        return None
+
+
+def _decode_entry(entry: Any) -> KeyedRecord:
+    if not isinstance(entry, dict):
+        raise ProtocolError('the entry is not an object')
     return KeyedRecord(
-        key=str(entry['key']),
-        payload=base64.b64decode(entry['value']),
-        offset=int(entry['offset']),
+        key=read_text(entry, 'key'),
+        payload=base64.b64decode(entry.get('value', ''), validate=True),
+        offset=read_integer(entry, 'offset'),
     )
--- a/foxtailreach/rpc/mapping.py
+++ b/foxtailreach/rpc/mapping.py
@@ -89,7 +89,10 @@
         if value is None:
             raise ProtocolError('frame of an unknown type')
         convert = self._mapping.from_thrift(self._types_by_field[name])
-        return typing.cast(FrameT, convert(value))
+        try:
+            return typing.cast(FrameT, convert(value))
+        except Exception as error:
+            raise ProtocolError(f'malformed {name}: {error!r}') from error
 
 
 class FrameBuffer(Generic[FrameT]):
@@ -198,9 +201,13 @@
         if (converter := converter_for(hints[name])) is not _identity
     ]
     read_fields = _fields_getter(names)
+    # Fields that a frame lacks, or has of another type, are None.
+    may_lack_fields = any(map(_is_optional, hints.values()))
 
     def convert(value: Any) -> Any:
         fields = read_fields(value)
+        if None in fields and not may_lack_fields:
+            raise ProtocolError(f'{value!r} lacks a field')
         if converters:
             fields = list(fields)
             for index, convert_field in converters:
@@ -210,6 +217,10 @@
     return convert
 
 
+def _is_optional(hint: Any) -> bool:
+    return types.NoneType in typing.get_args(hint)
+
+
 def _first_field_id(payload: bytes) -> int:
     """Return the id of the first field of a struct; 0 if there is none.
 
