Log for which targets a broker keeps the coverage, and by which figures

A broker logs each change of the scope (none, the whole, any part) with requests a target, share not served, recovery time and idle targets, at most once a second and service.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -14,6 +14,8 @@
 from foxtailreach.core.dispatch import messages, wait_queue
 from foxtailreach.core.dispatch.budgets import RetryBudget, RetryPolicy
 from foxtailreach.core.dispatch.cover import (
+    IN_USE_WINDOW_US,
+    CoverageDemand,
     RecentOutcomes,
     has_failed_last,
     lacks_fresh_evidence,
@@ -156,6 +158,18 @@
         """Count the requests that wait for a slot."""
         return len(self._queue)
 
+    def coverage(self, now_us: int) -> CoverageDemand:
+        """Return the present demand for coverage of the targets."""
+        return self._outcomes.demand(len(self.records), now_us)
+
+    def idle_targets(self, now_us: int) -> int:
+        """Count the usable targets that have had no request for a while."""
+        return sum(
+            record.accepts_work
+            and now_us - record.last_grant_us > IN_USE_WINDOW_US
+            for record in self.records.values()
+        )
+
     def update_targets(
         self,
         spec: ServiceSpec,
@@ -399,7 +413,7 @@
         state = self._placement
         state.service_us = self._service_time_us()
         state.busy_slots = len(self._leases)
-        state.demand = self._outcomes.demand(len(self.records), now_us)
+        state.demand = self.coverage(now_us)
         new_effects: Effects = []
         for waiter in self._queue.ordered(now_us, self._service_time_us()):
             if not self._has_free_slot(now_us):
--- a/foxtailreach/core/dispatch/cover.py
+++ b/foxtailreach/core/dispatch/cover.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 from collections import deque
 from collections.abc import Iterable
@@ -67,6 +68,14 @@
 PROBE_SUCCESS_GAIN = 0.05
 
 
+class CoverageScope(enum.StrEnum):
+    """For which targets of a service the coverage floor is kept."""
+
+    NONE = 'none'
+    WHOLE = 'the whole'
+    ANY_PART = 'any part'
+
+
 @dataclass(slots=True, frozen=True)
 class CoverageDemand:
     """Whether the coverage floor must be kept, and with which margin.
@@ -75,15 +84,25 @@
     that a target without fresh evidence is healthy, `recovery_us` the time
     after a failure from which on it applies; `is_failing` tells that many
     requests fail, `is_ample` that there are enough for all targets.
+    `requests_per_target` counts the window at its present rate.
     """
 
     is_needed: bool = False
     is_ample: bool = False
+    requests_per_target: float = 0
+    unserved_share: float = 0
     margin: float = 0
     unproven_probability: float = INITIAL_PROBE_SUCCESS**2
     recovery_us: int = INITIAL_RECOVERY_US
     is_failing: bool = False
 
+    @property
+    def scope(self) -> CoverageScope:
+        """For which targets the floor is kept."""
+        if not self.is_needed:
+            return CoverageScope.NONE
+        return CoverageScope.ANY_PART if self.is_ample else CoverageScope.WHOLE
+
 
 @dataclass(slots=True, frozen=True)
 class _Outcome:
@@ -150,13 +169,15 @@
             self._outcomes.popleft()
         requests_per_target = self._requests(now_us) / max(1, targets)
         if requests_per_target < MIN_REQUESTS_PER_TARGET:
-            return CoverageDemand()
+            return CoverageDemand(requests_per_target=requests_per_target)
         unserved = sum(not outcome.is_served for outcome in self._outcomes)
         unserved_share = unserved / max(MIN_REQUESTS, len(self._outcomes))
         margin = MARGIN_PER_UNSERVED_SHARE * unserved_share
         return CoverageDemand(
             is_needed=True,
             is_ample=requests_per_target >= AMPLE_REQUESTS_PER_TARGET,
+            requests_per_target=requests_per_target,
+            unserved_share=unserved_share,
             margin=min(MAX_MARGIN, max(MIN_MARGIN, margin)),
             # A healthy target succeeds now and did so a while ago.
             unproven_probability=self._probe_success_rate**2,
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -318,6 +318,7 @@
         new_effects.extend(self._decide_held_charges(now_us))
         new_effects.extend(self._check_holders(now_us))
         new_effects.extend(self._brokers.tick(self._digest_recipients, now_us))
+        new_effects.extend(self._brokers.coverage_notes(now_us))
         return new_effects
 
     def queue_lengths(self) -> dict[str, int]:
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -6,15 +6,18 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from foxtailreach.core import effects
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.broker import Broker, Effects, Standing
 from foxtailreach.core.dispatch.budgets import RetryPolicy
+from foxtailreach.core.dispatch.cover import CoverageDemand, CoverageScope
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
 from foxtailreach.core.dispatch.mirror import NO_VERSION
 from foxtailreach.core.units import SECOND_US
 
 # Evidence becomes stale fast.
 DIGEST_INTERVAL_US = SECOND_US
+NOTE_INTERVAL_US = SECOND_US
 BROKER_IDLE_US = 20 * SECOND_US
 
 
@@ -35,6 +38,8 @@
     last_used_us: int
     last_request_us: int = 0
     last_digest_us: int = 0
+    last_note_us: int = 0
+    noted_scope: CoverageScope = CoverageScope.NONE
 
 
 class ServiceBrokers:
@@ -186,6 +191,24 @@
                 )
         return new_effects
 
+    def coverage_notes(self, now_us: int) -> list[effects.Note]:
+        """Describe changes of the coverage, at most one in a second."""
+        notes = []
+        for service, entry in self._entries.items():
+            demand = entry.broker.coverage(now_us)
+            is_due = now_us - entry.last_note_us > NOTE_INTERVAL_US
+            if is_due and demand.scope is not entry.noted_scope:
+                entry.last_note_us = now_us
+                entry.noted_scope = demand.scope
+                notes.append(
+                    effects.Note(
+                        'coverage',
+                        service,
+                        _describe_coverage(entry.broker, demand, now_us),
+                    ),
+                )
+        return notes
+
     def queue_lengths(self) -> dict[str, int]:
         """Return the number of waiting requests of each service."""
         return {
@@ -218,6 +241,18 @@
         )
 
 
+def _describe_coverage(
+    broker: Broker, demand: CoverageDemand, now_us: int
+) -> str:
+    return (
+        f'kept for {demand.scope}: '
+        f'{demand.requests_per_target:.2f} requests a target, '
+        f'{demand.unserved_share:.3f} not served, '
+        f'recovery {demand.recovery_us} us, '
+        f'{broker.idle_targets(now_us)} of {len(broker.records)} targets idle'
+    )
+
+
 def _is_digest_due(entry: BrokerEntry, now_us: int) -> bool:
     is_active = now_us - entry.last_request_us < DIGEST_INTERVAL_US
     return is_active and now_us - entry.last_digest_us > DIGEST_INTERVAL_US
