Stop sending to targets that say they leave, and to those that ask for a pause

A target that is about to end says so in its answers (Server-Leaving), and one that turns a request away with 503 may ask for a pause (Retry-After). Nothing followed either: a host went on sending until the list named the target.

One owner a host, TargetNotices, keeps what each process of a target has told it; the last check before the connect and the write asks it first. It does not depend on the store or a broker. It ends with the process: another start, or another target at the address, is not bound.

Reports of slots carry both, so the broker stops granting for all hosts, also on a withheld slot after a change of broker. A pause is no failure, shed or ejection, and neither coverage nor probes reach the target meanwhile. A withheld retry is taken back from the budget. If all targets pause, requests are refused at once as not run, waiting ones too, and return behind the earliest end, spread.

Hosts of this build do not work beside those of the last one: reports have two more fields.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -28,6 +28,7 @@
     PlacementState,
     choose_target,
 )
+from foxtailreach.core.dispatch.target_notices import TargetNotice
 from foxtailreach.core.dispatch.target_record import (
     SLOW_FACTOR,
     TargetRecord,
@@ -60,6 +61,8 @@
 _INCONCLUSIVE_OUTCOMES = frozenset(
     (SendOutcome.ABANDONED, SendOutcome.SHED, SendOutcome.WITHHELD)
 )
+# Outcomes that say nothing of a target's health if it leaves or pauses.
+_UNSERVED_BY_NOTICE = frozenset((SendOutcome.SHED, SendOutcome.WITHHELD))
 _FAILED_OUTCOMES = frozenset(
     (
         SendOutcome.FAILED,
@@ -121,6 +124,7 @@
         '_placement',
         '_queue',
         '_retry_budget',
+        '_rng',
         '_spec',
         '_state_version',
         'records',
@@ -137,6 +141,7 @@
         self.records: dict[str, TargetRecord] = {}
         self._spec = spec
         self._state_version = NO_VERSION
+        self._rng = rng
         self._queue = wait_queue.WaitQueue(rng)
         self._retry_budget = RetryBudget(policy)
         self._mean_service_us = float(DEFAULT_SERVICE_TIME_US)
@@ -166,6 +171,7 @@
         """Count the usable targets that have had no request for a while."""
         return sum(
             record.accepts_work
+            and not record.is_paused(now_us)
             and now_us - record.last_grant_us > IN_USE_WINDOW_US
             for record in self.records.values()
         )
@@ -260,6 +266,8 @@
         is_sent = report.outcome is not SendOutcome.WITHHELD
         if lease is not None and is_sent and not lease.is_repeat:
             self._retry_budget.record_first_send(now_us)
+        if lease is not None and lease.is_repeat and not is_sent:
+            self._retry_budget.withdraw_retry(lease.granted_us)
         if report.outcome not in _INCONCLUSIVE_OUTCOMES:
             is_served = report.outcome not in _FAILED_OUTCOMES
             if lease is not None and lease.is_probe:
@@ -386,14 +394,18 @@
         request: messages.SlotRequest,
         now_us: int,
     ) -> Effects:
-        if not self._usable_slots():
+        pause_us = self._pause_left_us(now_us)
+        if pause_us:
+            self._outcomes.record_request(now_us, is_served=False)
+            return [self._refuse_paused(host_id, request, pause_us)]
+        if not self._usable_slots(now_us):
             cause = RefusalCause.NO_TARGET
             wait_us = wait_queue.MIN_RETRY_AFTER_US
             self._outcomes.record_request(now_us, is_served=False)
             return [self._refuse(host_id, request, cause, wait_us)]
         wait_us = 0
         if len(self._queue):
-            wait_us = self._expected_wait_us(request.priority)
+            wait_us = self._expected_wait_us(request.priority, now_us)
         if wait_queue.cannot_finish_in_time(
             request,
             wait_us,
@@ -410,6 +422,9 @@
     def _serve_queue(self, now_us: int) -> Effects:
         if not len(self._queue):
             return []
+        pause_us = self._pause_left_us(now_us)
+        if pause_us:
+            return self._refuse_waiting(pause_us, now_us)
         state = self._placement
         state.service_us = self._service_time_us()
         state.busy_slots = len(self._leases)
@@ -429,6 +444,42 @@
                 new_effects.append(self._grant(waiter, record, now_us))
         return new_effects
 
+    def _pause_left_us(self, now_us: int) -> int:
+        """Return the time until the first target ends its pause.
+
+        0 if there is a target that does not pause, or none at all.
+        """
+        return min(
+            (
+                max(0, record.paused_until_us - now_us)
+                for record in self.records.values()
+                if record.accepts_work
+            ),
+            default=0,
+        )
+
+    def _refuse_waiting(self, pause_us: int, now_us: int) -> Effects:
+        """Refuse all waiting requests, as all targets pause."""
+        new_effects: Effects = []
+        for waiter in self._queue.pop_all():
+            self._outcomes.record_request(now_us, is_served=False)
+            new_effects.append(
+                self._refuse_paused(
+                    waiter.host_id, waiter.slot_request, pause_us
+                ),
+            )
+        return new_effects
+
+    def _refuse_paused(
+        self, host_id: str, request: messages.SlotRequest, pause_us: int
+    ) -> messages.SendHost:
+        refusal = messages.SlotRefused(
+            request.ask_id,
+            RefusalCause.PAUSED,
+            wait_queue.spread_after_pause_us(pause_us, self._rng),
+        )
+        return messages.SendHost(host_id, refusal)
+
     def _placement_request(
         self,
         waiter: wait_queue.Waiter,
@@ -502,6 +553,10 @@
         report: messages.SlotReport,
         now_us: int,
     ) -> None:
+        notice = TargetNotice(report.is_leaving, report.pause_us)
+        record.record_notice(notice, now_us)
+        if notice and report.outcome in _UNSERVED_BY_NOTICE:
+            return
         is_served = report.outcome is SendOutcome.SERVED
         is_slow = report.latency_us > SLOW_FACTOR * self._mean_service_us
         record.record_outcome(
@@ -547,15 +602,15 @@
         if record is not None:
             record.release((host_id, ask_id))
 
-    def _usable_slots(self) -> int:
+    def _usable_slots(self, now_us: int) -> int:
         return sum(
             record.spec.slots
             for record in self.records.values()
-            if record.accepts_work
+            if record.accepts_work and not record.is_paused(now_us)
         )
 
-    def _expected_wait_us(self, priority: int) -> int:
-        slots = self._usable_slots()
+    def _expected_wait_us(self, priority: int, now_us: int) -> int:
+        slots = self._usable_slots(now_us)
         return self._queue.expected_wait_us(
             priority,
             slots,
--- a/foxtailreach/core/dispatch/budgets.py
+++ b/foxtailreach/core/dispatch/budgets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass
 
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
@@ -120,6 +121,11 @@
         """Count a retry."""
         self._retries.append(now_us)
 
+    def withdraw_retry(self, granted_us: int) -> None:
+        """Take back a retry that was granted at a time and not sent."""
+        with suppress(ValueError):
+            self._retries.remove(granted_us)
+
     def allows_retry(self, now_us: int, waiting: int = 0) -> bool:
         """Tell whether the budget allows one more retry.
 
--- a/foxtailreach/core/dispatch/cover.py
+++ b/foxtailreach/core/dispatch/cover.py
@@ -220,7 +220,7 @@
     probabilities = [
         (health_probability(record, demand, now_us), record)
         for record in records
-        if record.accepts_work
+        if record.accepts_work and not record.is_paused(now_us)
     ]
     idle = [
         (probability, record)
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -28,6 +28,11 @@
 from foxtailreach.core.dispatch.reach import Reach
 from foxtailreach.core.dispatch.reader_election import ReaderElection
 from foxtailreach.core.dispatch.service_brokers import Requester, ServiceBrokers
+from foxtailreach.core.dispatch.target_notices import (
+    Incarnation,
+    TargetNotice,
+    TargetNotices,
+)
 from foxtailreach.core.log_freshness import LogFreshness
 from foxtailreach.core.membership import HeartbeatTiming, Membership
 from foxtailreach.core.ranking import rank_candidates, top_candidate
@@ -86,6 +91,7 @@
         'deployment',
         'election',
         '_targets_by_id',
+        'notices',
         'evacuated',
         'membership',
         'targets',
@@ -118,6 +124,7 @@
         self.targets: tuple[TargetSpec, ...] = ()
         self.targets_version = NO_VERSION
         self._targets_by_id: dict[str, TargetSpec] = {}
+        self.notices = TargetNotices()
         self.evacuated: frozenset[str] = frozenset()
         self._brokers = ServiceBrokers(config.retry_policy, rng)
         self._host_messages = HostMessages(
@@ -213,6 +220,7 @@
         self._targets_by_id = {
             target.target_id: target for target in self.targets
         }
+        self.notices.update_list(self.targets, now_us)
         self.evacuated = evacuated
         new_effects = self._brokers.update(
             deployment,
@@ -236,6 +244,24 @@
             return True
         return target.started_ms != grant.started_ms
 
+    def notice_of(self, grant: messages.SlotGrant, now_us: int) -> TargetNotice:
+        """Return what a granted target has told this host."""
+        incarnation = Incarnation(grant.target_id, grant.started_ms)
+        return self.notices.current(incarnation, now_us)
+
+    def withhold_cause(self, grant: messages.SlotGrant, now_us: int) -> str:
+        """Tell why a granted target must get no request now; '' if it may."""
+        notice = self.notice_of(grant, now_us)
+        if notice.is_leaving:
+            return 'the target has said that it leaves'
+        if notice.pause_us:
+            return (
+                f'the target has asked for a pause, {notice.pause_us} us left'
+            )
+        if self.knows_as_left(grant):
+            return 'the target leaves by the list of targets'
+        return ''
+
     def update_hosts(
         self,
         registrations: Iterable[messages.HostAnnounced],
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -26,8 +26,8 @@
     `FAILED` is a server error, `LOST` a broken connection or an invalid answer.
     After `SHED` (the target declined the request), `MISDIRECTED` (another
     target has the address), `UNREACHABLE` (no connection) and `WITHHELD` (the
-    sender knew that the target leaves) the request has not run. `ABANDONED`
-    means that the sender cancelled the request.
+    sender knew that the target leaves or pauses) the request has not run.
+    `ABANDONED` means that the sender cancelled the request.
     """
 
     SERVED = 'served'
@@ -42,13 +42,17 @@
 
 
 class RefusalCause(enum.StrEnum):
-    """Why a broker does not grant a slot."""
+    """Why a broker does not grant a slot.
+
+    `PAUSED`: all targets of the service have asked for a pause.
+    """
 
     NO_TARGET = 'no-target'
     OVERLOAD = 'overload'
     REPEAT_BUDGET = 'repeat-budget'
     QUARANTINED = 'quarantined'
     NOT_READY = 'not-ready'
+    PAUSED = 'paused'
 
 
 class Admission(enum.StrEnum):
@@ -151,7 +155,11 @@
 
 @dataclass(slots=True, frozen=True)
 class SlotReport:
-    """Releases a slot and reports the outcome of its request."""
+    """Releases a slot and reports the outcome of its request.
+
+    `is_leaving` and `pause_us` are what the target has told the sender: that
+    it is about to leave, and how long from now on it wants no requests.
+    """
 
     ask_id: int
     service_name: str
@@ -160,6 +168,8 @@
     outcome: SendOutcome
     latency_us: int
     fingerprint: int
+    is_leaving: bool = False
+    pause_us: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/foxtailreach/core/dispatch/target_record.py
+++ b/foxtailreach/core/dispatch/target_record.py
@@ -12,6 +12,10 @@
 from foxtailreach.core.dispatch.budgets import TokenBucket
 from foxtailreach.core.dispatch.deployment import ServiceSpec, TargetSpec
 from foxtailreach.core.dispatch.messages import SendOutcome
+from foxtailreach.core.dispatch.target_notices import (
+    MAX_PAUSE_US,
+    TargetNotice,
+)
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
 # Failure periods last 2.7 s on average.
@@ -73,10 +77,12 @@
         'full_until_us',
         'granted',
         'is_evacuated',
+        'is_leaving',
         'is_tried',
         'last_failed_us',
         'last_grant_us',
         'last_served_us',
+        'paused_until_us',
         'spec',
         'warm_up_until_us',
     )
@@ -98,6 +104,8 @@
         self.full_until_us = 0
         self.warm_up_until_us = now_us + spec.warm_up_left_us
         self.is_evacuated = False
+        self.is_leaving = False
+        self.paused_until_us = 0
         self.is_tried = False
         self._consecutive_sheds = 0
         # When the request that failed last was sent.
@@ -120,6 +128,8 @@
             self._failed_send_us = 0
             self._served_send_us = 0
             self.ejected_until_us = 0
+            self.is_leaving = False
+            self.paused_until_us = 0
             self.granted.clear()
             self._unreachable_by_host.clear()
         if spec.warm_up_left_us and spec != self.spec:
@@ -137,8 +147,20 @@
 
     @property
     def accepts_work(self) -> bool:
-        """Whether the target is neither draining nor evacuated."""
-        return not self.spec.is_draining and not self.is_evacuated
+        """Whether the target is neither leaving nor evacuated."""
+        is_leaving = self.is_leaving or self.spec.is_draining
+        return not is_leaving and not self.is_evacuated
+
+    def is_paused(self, now_us: int) -> bool:
+        """Tell whether the target has asked for no requests for now."""
+        return now_us < self.paused_until_us
+
+    def record_notice(self, notice: TargetNotice, now_us: int) -> None:
+        """Record what the target has told a host."""
+        self.is_leaving = self.is_leaving or notice.is_leaving
+        if notice.pause_us > 0:
+            until_us = now_us + min(notice.pause_us, MAX_PAUSE_US)
+            self.paused_until_us = max(self.paused_until_us, until_us)
 
     def has_free_slot(self, now_us: int) -> bool:
         """Tell whether one more request may be sent now.
@@ -148,7 +170,7 @@
         spec = self.spec
         if not self.accepts_work:
             return False
-        if now_us < self.full_until_us:
+        if now_us < max(self.full_until_us, self.paused_until_us):
             return False
         if self.is_warming_up(now_us):
             is_half_free = len(self.granted) < max(1, spec.slots // 2)
--- a/foxtailreach/core/dispatch/wait_queue.py
+++ b/foxtailreach/core/dispatch/wait_queue.py
@@ -115,6 +115,12 @@
             self.remove(waiter.host_id, waiter.slot_request.ask_id)
         return expired
 
+    def pop_all(self) -> list[Waiter]:
+        """Remove and return all requests."""
+        waiters = list(self._waiters.values())
+        self._waiters.clear()
+        return waiters
+
     def expected_wait_us(
         self,
         priority: int,
@@ -139,6 +145,15 @@
         return int(base_us * (1 + RETRY_SPREAD * self._rng.random()))
 
 
+def spread_after_pause_us(pause_us: int, rng: random.Random) -> int:
+    """Return the delay after which a caller should retry after a pause.
+
+    Callers return one after the other from the end of the pause on.
+    """
+    spread_us = min(MAX_RETRY_AFTER_US, int(RETRY_SPREAD * pause_us))
+    return pause_us + int(rng.random() * max(MIN_RETRY_AFTER_US, spread_us))
+
+
 def cannot_finish_in_time(
     slot_request: SlotRequest,
     wait_us: int,
--- a/foxtailreach/core/verdict.py
+++ b/foxtailreach/core/verdict.py
@@ -32,6 +32,7 @@
     LIMIT_UNAVAILABLE = 'limit-unavailable'
     OVERLOAD = 'overload'
     NO_TARGET = 'no-target'
+    PAUSED = 'paused'
     QUARANTINED = 'quarantined'
     DEADLINE = 'deadline'
     TARGET_FAILED = 'target-failed'
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -91,7 +91,7 @@
         self._peers = PeerEndpoint(self._receive, self._node.announcement)
         self._router = MessageRouter(self._node, self._peers.send)
         self._upstream = Upstream(
-            options.header_names, self._node.knows_as_left
+            options.header_names, self._node.withhold_cause
         )
         self._metrics = GatewayMetrics()
         self._routine_lines = logs.RoutineLineLimiter()
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from foxtailreach.core.dispatch.messages import SendOutcome
+from foxtailreach.core.dispatch.target_notices import TargetNotice
 from foxtailreach.core.verdict import Reason, Verdict
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -45,6 +46,7 @@
     customer: bytes
     expected_target: bytes
     not_executed: bytes
+    leaving: bytes
     key_scheme: bytes
 
 
@@ -109,7 +111,9 @@
 
     `cause` says why a connection to the target was given up. `granted_version`
     and `known_version` are those of the targets that the broker and this host
-    knew; `is_known_as_left` tells that this host knew that the target leaves.
+    knew; `is_known_as_left` tells that this host knew by these that the target
+    leaves; `said` is what the target says in its answer, `notice` what it has
+    told this host and is in force.
     """
 
     broker: str
@@ -123,6 +127,8 @@
     granted_version: int = -1
     known_version: int = -1
     is_known_as_left: bool = False
+    notice: TargetNotice = field(default_factory=TargetNotice)
+    said: TargetNotice = field(default_factory=TargetNotice)
 
 
 def bounded_number(digits: bytes | str, highest: int) -> int:
--- a/foxtailreach/gateway/logs.py
+++ b/foxtailreach/gateway/logs.py
@@ -83,6 +83,32 @@
         return True
 
 
+class IntervalLimiter:
+    """Allows one log line in an interval, and counts those left out."""
+
+    __slots__ = ('_interval_us', '_last_us', '_left_out')
+
+    def __init__(self, interval_us: int) -> None:
+        """Allow the first line at once."""
+        self._interval_us = interval_us
+        self._last_us = -interval_us
+        self._left_out = 0
+
+    def allow(self) -> bool:
+        """Return whether a line may be written now."""
+        now_us = boot_time_us()
+        if now_us - self._last_us < self._interval_us:
+            self._left_out += 1
+            return False
+        self._last_us = now_us
+        return True
+
+    def take_left_out(self) -> int:
+        """Return how many lines were left out since the last call."""
+        left_out, self._left_out = self._left_out, 0
+        return left_out
+
+
 def configure(host_id: str) -> LineWriter:
     """Write the log of this process to standard output as JSON lines."""
     writer = LineWriter(sys.stdout.fileno())
--- a/foxtailreach/gateway/metrics_page.py
+++ b/foxtailreach/gateway/metrics_page.py
@@ -51,6 +51,14 @@
         for send_labels, count in self._metrics.sends.items():
             sends.add_metric(send_labels, count)
         yield sends
+        notices = CounterMetricFamily(
+            'foxtailreach_target_notices',
+            'Answers in which a target says that it leaves or wants a pause.',
+            labels=('service', 'notice'),
+        )
+        for notice_labels, count in self._metrics.notices.items():
+            notices.add_metric(notice_labels, count)
+        yield notices
         state = GaugeMetricFamily(
             'foxtailreach_state',
             'Ages in microseconds, counts and queue lengths of this host.',
--- a/foxtailreach/gateway/peers.py
+++ b/foxtailreach/gateway/peers.py
@@ -18,6 +18,7 @@
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.exceptions import ProtocolError
+from foxtailreach.gateway.logs import IntervalLimiter
 from foxtailreach.gateway.settings import is_usable_address
 from foxtailreach.rpc.fleet import FLEET_CODEC
 from foxtailreach.rpc.mapping import FrameBuffer
@@ -69,7 +70,7 @@
         self.sent = 0
         self.received = 0
         self.malformed = 0
-        self._malformed_logged_us = -LOG_MALFORMED_INTERVAL_US
+        self._malformed_lines = IntervalLimiter(LOG_MALFORMED_INTERVAL_US)
 
     async def open(self, address: str, port: int) -> None:
         """Bind the socket."""
@@ -149,9 +150,7 @@
     def _record_malformed(self, detail: str) -> None:
         """Count a malformed message, and log it at a limited rate."""
         self.malformed += 1
-        now_us = boot_time_us()
-        if now_us - self._malformed_logged_us >= LOG_MALFORMED_INTERVAL_US:
-            self._malformed_logged_us = now_us
+        if self._malformed_lines.allow():
             logger.bind(count=self.malformed).warning(
                 'malformed message: {}', detail
             )
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -20,6 +20,10 @@
 )
 from foxtailreach.core.dispatch.fleet import FleetNode
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.dispatch.target_notices import (
+    Incarnation,
+    TargetNotice,
+)
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.daemon.clock import boot_time_us
@@ -408,6 +412,7 @@
                 is_repeatable=context.is_repeatable,
             )
             attempt.outcome = answer.outcome
+            self._record_notice(slot.grant, attempt, answer.notice)
         finally:
             self._report(context, slot, attempt, requested_us)
         attempt.is_reused = answer.is_reused
@@ -418,6 +423,28 @@
             context.sends += 1
         return answer
 
+    def _record_notice(
+        self,
+        grant: messages.SlotGrant,
+        attempt: AttemptTrace,
+        notice: TargetNotice,
+    ) -> None:
+        """Keep what a target says of itself; log it unless it is known."""
+        attempt.said = notice
+        if not notice:
+            return
+        now_us = boot_time_us()
+        known = self._node.notice_of(grant, now_us)
+        incarnation = Incarnation(grant.target_id, grant.started_ms)
+        self._node.notices.record(incarnation, notice, now_us)
+        if notice.is_leaving > known.is_leaving or notice.pause_us:
+            logger.bind(
+                target=grant.target_id,
+                started_ms=grant.started_ms,
+                is_leaving=notice.is_leaving,
+                pause_us=notice.pause_us,
+            ).info('a target has told that it leaves or pauses')
+
     def _return_slot(self, context: RequestContext, slot: GrantedSlot) -> None:
         """Release a slot that was not used."""
         attempt = AttemptTrace(
@@ -438,8 +465,9 @@
         attempt: AttemptTrace,
         requested_us: int,
     ) -> None:
-        spent_us = boot_time_us() - requested_us
-        attempt.latency_us = spent_us - attempt.slot_wait_us
+        now_us = boot_time_us()
+        attempt.latency_us = now_us - requested_us - attempt.slot_wait_us
+        attempt.notice = self._node.notice_of(slot.grant, now_us)
         self._fleet_client.report(
             slot,
             messages.SlotReport(
@@ -450,6 +478,8 @@
                 outcome=attempt.outcome,
                 latency_us=attempt.latency_us,
                 fingerprint=_fingerprint(context),
+                is_leaving=attempt.notice.is_leaving,
+                pause_us=attempt.notice.pause_us,
             ),
         )
 
@@ -514,6 +544,8 @@
         reason = Reason.QUARANTINED
     elif refused.cause is RefusalCause.NO_TARGET:
         reason = Reason.NO_TARGET
+    elif refused.cause is RefusalCause.PAUSED:
+        reason = Reason.PAUSED
     elif refused.cause is RefusalCause.NOT_READY:
         reason = Reason.NO_CONFIGURATION
     return _failure_answer(
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -14,13 +14,14 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import h11
 from tornado.iostream import IOStream, StreamClosedError
 
 from foxtailreach.core.dispatch.messages import SendOutcome, SlotGrant
+from foxtailreach.core.dispatch.target_notices import TargetNotice
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.http_types import (
@@ -30,6 +31,7 @@
     find_header,
     forwarded_headers,
 )
+from foxtailreach.gateway.notice_reader import read_notice
 
 # A connection opens within 3 ms; if the first packet is lost, TCP resends it
 # after 1 s.
@@ -53,7 +55,8 @@
 # More digits would be years.
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
-HasLeft = Callable[[SlotGrant], bool]
+# Tells why a granted target must get no request now; '' if it may.
+WithholdCause = Callable[[SlotGrant, int], str]
 
 
 @dataclass(slots=True)
@@ -67,6 +70,7 @@
     body: bytes = b''
     is_reused: bool = False
     cause: str = ''
+    notice: TargetNotice = field(default_factory=TargetNotice)
 
 
 class _ConnectionLostError(Exception):
@@ -256,12 +260,20 @@
 class Upstream:
     """Sends requests to targets over pooled connections."""
 
-    __slots__ = ('_has_left', '_header_names', '_idle', 'opened', 'reused')
+    __slots__ = (
+        '_header_names',
+        '_idle',
+        '_withhold_cause',
+        'opened',
+        'reused',
+    )
 
-    def __init__(self, header_names: HeaderNames, has_left: HasLeft) -> None:
-        """Create an empty pool; `has_left` tells which targets get nothing."""
+    def __init__(
+        self, header_names: HeaderNames, withhold_cause: WithholdCause
+    ) -> None:
+        """Create an empty pool; `withhold_cause` is asked before each send."""
         self._header_names = header_names
-        self._has_left = has_left
+        self._withhold_cause = withhold_cause
         self._idle: dict[tuple[str, int], deque[TargetConnection]] = {}
         self.opened = 0
         self.reused = 0
@@ -290,12 +302,13 @@
         """Send a request to the granted target and read its answer.
 
         Failures become outcomes of the answer. Cancellation closes the
-        connection. Nothing is sent if this host knows that the target leaves,
-        also if it learns so while the connection opens.
+        connection. Nothing is sent if this host knows that the target leaves or
+        pauses, also if it learns so while the connection opens.
         """
-        if self._has_left(grant):
-            return TargetAnswer(SendOutcome.WITHHELD)
         now_us = boot_time_us()
+        cause = self._withhold_cause(grant, now_us)
+        if cause:
+            return TargetAnswer(SendOutcome.WITHHELD, cause=cause)
         key = (grant.target_id, grant.started_ms)
         connection = self._take_idle_connection(
             key, now_us, is_repeatable=is_repeatable
@@ -306,9 +319,10 @@
             if connection is None:
                 return TargetAnswer(SendOutcome.UNREACHABLE)
             self.opened += 1
-            if self._has_left(grant):
+            cause = self._withhold_cause(grant, boot_time_us())
+            if cause:
                 connection.close()
-                return TargetAnswer(SendOutcome.WITHHELD)
+                return TargetAnswer(SendOutcome.WITHHELD, cause=cause)
         self.reused += is_reused
         try:
             answer = await self._exchange(
@@ -367,6 +381,10 @@
         answer.outcome = self._classify(answer)
         if answer.outcome is SendOutcome.LOST:
             answer.cause = 'successful answer is unsigned or encoded'
+        elif answer.outcome is not SendOutcome.MISDIRECTED:
+            answer.notice = read_notice(
+                answer.status, answer.headers, self._header_names.leaving
+            )
         return answer
 
     def _classify(self, answer: TargetAnswer) -> SendOutcome:
--- a/foxtailreach/platform/headers.py
+++ b/foxtailreach/platform/headers.py
@@ -16,5 +16,7 @@
     expected_target=b'x-foxtailreach-expected-instance',
     # Present if the target did not run the request.
     not_executed=b'x-foxtailreach-not-executed',
+    # '1' if the target is about to leave.
+    leaving=b'server-leaving',
     key_scheme=b'token',
 )
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -44,7 +44,8 @@
 
 struct SlotReport {
   1: i64 ask_id, 2: string service_name, 3: string target_id, 4: i64 started_ms,
-  5: string outcome, 6: i64 latency_us, 7: i64 fingerprint
+  5: string outcome, 6: i64 latency_us, 7: i64 fingerprint, 8: bool is_leaving,
+  9: i64 pause_us
 }
 
 struct ChargeRequest {
--- a/foxtailreach/tests/gateway/endless_answer_tests.py
+++ b/foxtailreach/tests/gateway/endless_answer_tests.py
@@ -80,7 +80,7 @@
 
     async def main() -> None:
         endless = EndlessTarget(start, repeated)
-        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        upstream = Upstream(HEADER_NAMES, lambda *_: '')
         async with target(endless.answer) as (grant, _):
             started_us = boot_time_us()
             answer = await send(upstream, grant, request(), time_left_s=20)
@@ -99,7 +99,7 @@
 def test_endless_bytes_after_an_answer_close_the_connection() -> None:
     async def main() -> None:
         endless = EndlessTarget(OK, FILLING)
-        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        upstream = Upstream(HEADER_NAMES, lambda *_: '')
         async with target(endless.answer) as (grant, _):
             answer = await send(upstream, grant, request())
             assert answer.outcome is SendOutcome.SERVED
--- a/foxtailreach/tests/gateway/leaving_target_tests.py
+++ b/foxtailreach/tests/gateway/leaving_target_tests.py
@@ -58,8 +58,9 @@
 
     def __init__(self, slots: list[messages.SlotGrant]) -> None:
         """Grant these slots."""
-        self._slots = slots
+        self.slots = slots
         self.outcomes: list[SendOutcome] = []
+        self.notices: list[bool] = []
 
     async def acquire(
         self,
@@ -67,13 +68,14 @@
         deadline_us: int,
     ) -> GrantedSlot | messages.SlotRefused:
         """Return the next slot."""
-        if not self._slots:
+        if not self.slots:
             return messages.SlotRefused(1, RefusalCause.NO_TARGET, 1000)
-        return GrantedSlot(self._slots.pop(0), 'h2')
+        return GrantedSlot(self.slots.pop(0), 'h2')
 
     def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
-        """Keep the outcome."""
+        """Keep the outcome, and whether the target has told anything."""
         self.outcomes.append(report.outcome)
+        self.notices.append(report.is_leaving or report.pause_us > 0)
 
 
 def create_node(listed: list[TargetSpec], version: int) -> FleetNode:
@@ -153,7 +155,7 @@
             ]
             client = GrantingClient(slots)
             node = create_node(listed, version)
-            upstream = Upstream(HEADER_NAMES, node.knows_as_left)
+            upstream = Upstream(HEADER_NAMES, node.withhold_cause)
             answer = await serve(node, client, upstream)
             upstream.close()
             assert answer.status == 200
@@ -172,9 +174,9 @@
         ) -> None:
             received.append(len(await reader.read()))
 
-        has_left = iter((False, True))
+        causes = iter(('', 'leaves'))
         async with target(record_bytes) as (grant, accepted):
-            upstream = Upstream(HEADER_NAMES, lambda _: next(has_left))
+            upstream = Upstream(HEADER_NAMES, lambda *_: next(causes))
             answer = await send(upstream, grant, request())
             upstream.close()
             await asyncio.sleep(0.05)
--- a/foxtailreach/tests/gateway/upstream_tests.py
+++ b/foxtailreach/tests/gateway/upstream_tests.py
@@ -17,6 +17,7 @@
 from foxtailreach.gateway.upstream import TargetAnswer, Upstream
 
 HEADER_NAMES = HeaderNames(
+    leaving=b'server-leaving',
     request_id=b'x-id',
     time_left_ms=b'x-left',
     signature=b'x-signed',
@@ -233,7 +234,7 @@
     script, outcome, is_reusable = ANSWER_CASES[name]
 
     async def scenario() -> None:
-        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        upstream = Upstream(HEADER_NAMES, lambda *_: '')
         async with target(script) as (grant, _):
             answer = await send(upstream, grant, request())
             assert answer.outcome is outcome
@@ -250,7 +251,7 @@
         async with target(reply_with(OK)) as (grant, _):
             pass
         answer = await send(
-            Upstream(HEADER_NAMES, lambda grant: False), grant, request()
+            Upstream(HEADER_NAMES, lambda *_: ''), grant, request()
         )
         assert answer.outcome is SendOutcome.UNREACHABLE
 
@@ -274,7 +275,7 @@
         reset(writer)
 
     async def scenario() -> None:
-        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        upstream = Upstream(HEADER_NAMES, lambda *_: '')
         async with target(script) as (grant, accepted):
             first = await send(upstream, grant, request('r1', b'POST'))
             second = await send(upstream, grant, request('r1', b'POST'))
@@ -297,9 +298,7 @@
 
     async def scenario() -> None:
         async with target(script) as (grant, _):
-            await send(
-                Upstream(HEADER_NAMES, lambda grant: False), grant, request()
-            )
+            await send(Upstream(HEADER_NAMES, lambda *_: ''), grant, request())
 
     asyncio.run(scenario())
     head = seen[0].lower()
@@ -327,7 +326,7 @@
         async with target(script) as (grant, _):
             sending = asyncio.ensure_future(
                 send(
-                    Upstream(HEADER_NAMES, lambda grant: False),
+                    Upstream(HEADER_NAMES, lambda *_: ''),
                     grant,
                     request(),
                     5,
@@ -357,7 +356,7 @@
 
     async def scenario() -> TargetAnswer:
         async with target(late_copy) as (grant, _):
-            upstream = Upstream(HEADER_NAMES, lambda grant: False)
+            upstream = Upstream(HEADER_NAMES, lambda *_: '')
             await send(upstream, grant, request('r1'))
             answer = await send(upstream, grant, request('r2'))
             upstream.close()
@@ -398,7 +397,7 @@
         await reader.read()
 
     async def scenario() -> tuple[TargetAnswer, TargetAnswer]:
-        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        upstream = Upstream(HEADER_NAMES, lambda *_: '')
         async with target(script) as (grant, _):
             first = await send(upstream, grant, request('r1', b'POST'))
             second = await send(upstream, grant, request(second_id, b'POST'))
@@ -417,7 +416,7 @@
     """A target stops at any byte of the head or body, and closes."""
 
     async def scenario(sent: bytes) -> TargetAnswer:
-        upstream = Upstream(HEADER_NAMES, lambda grant: False)
+        upstream = Upstream(HEADER_NAMES, lambda *_: '')
         async with target(reply_with(sent, ends=ends)) as (grant, _):
             answer = await send(upstream, grant, request(), 2)
             upstream.close()
