--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -29,6 +29,7 @@
 from foxtailreach.core.dispatch.reader_election import ReaderElection
 from foxtailreach.core.dispatch.service_brokers import Requester, ServiceBrokers
 from foxtailreach.core.dispatch.target_notices import (
+    NO_NOTICE,
     Incarnation,
     TargetNotice,
     TargetNotices,
@@ -57,6 +58,7 @@
 FIRST_REQUESTS_AFTER_US = 500 * MILLISECOND_US
 # Hosts that are asked in turn.
 MIN_RANKED_HOSTS = 2
+LEFT_BY_LIST = 'the target leaves by the list of targets'
 
 
 @dataclass(slots=True, frozen=True)
@@ -246,21 +248,19 @@
 
     def notice_of(self, grant: messages.SlotGrant, now_us: int) -> TargetNotice:
         """Return what a granted target has told this host."""
+        if self.notices.is_empty:
+            return NO_NOTICE
         incarnation = Incarnation(grant.target_id, grant.started_ms)
         return self.notices.current(incarnation, now_us)
 
     def withhold_cause(self, grant: messages.SlotGrant, now_us: int) -> str:
         """Tell why a granted target must get no request now; '' if it may."""
         notice = self.notice_of(grant, now_us)
+        if notice is NO_NOTICE:
+            return LEFT_BY_LIST if self.knows_as_left(grant) else ''
         if notice.is_leaving:
             return 'the target has said that it leaves'
-        if notice.pause_us:
-            return (
-                f'the target has asked for a pause, {notice.pause_us} us left'
-            )
-        if self.knows_as_left(grant):
-            return 'the target leaves by the list of targets'
-        return ''
+        return f'the target has asked for a pause, {notice.pause_us} us left'
 
     def update_hosts(
         self,
--- a/foxtailreach/core/dispatch/target_notices.py
+++ b/foxtailreach/core/dispatch/target_notices.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from foxtailreach.core.dispatch.deployment import TargetSpec
 from foxtailreach.core.units import SECOND_US
@@ -27,8 +28,7 @@
 UNKNOWN_START_MS = 0
 
 
-@dataclass(slots=True, frozen=True)
-class Incarnation:
+class Incarnation(NamedTuple):
     """One process of a target."""
 
     target_id: str
@@ -50,6 +50,9 @@
         return self.is_leaving or self.pause_us > 0
 
 
+NO_NOTICE = TargetNotice()
+
+
 class TargetNotices:
     """The notices that bind this host, by process of a target."""
 
@@ -61,6 +64,11 @@
         self._leaving: dict[Incarnation, int] = {}
         self._paused_until_us: dict[Incarnation, int] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has told this host anything."""
+        return not self._leaving and not self._paused_until_us
+
     def record(
         self, incarnation: Incarnation, notice: TargetNotice, now_us: int
     ) -> None:
@@ -76,10 +84,11 @@
 
     def current(self, incarnation: Incarnation, now_us: int) -> TargetNotice:
         """Return what binds this host now; the pause is what is left of it."""
-        until_us = self._paused_until_us.get(incarnation, 0)
-        return TargetNotice(
-            incarnation in self._leaving, max(0, until_us - now_us)
-        )
+        is_leaving = incarnation in self._leaving
+        pause_us = self._paused_until_us.get(incarnation, 0) - now_us
+        if is_leaving or pause_us > 0:
+            return TargetNotice(is_leaving, max(0, pause_us))
+        return NO_NOTICE
 
     def update_list(self, targets: Iterable[TargetSpec], now_us: int) -> None:
         """Forget notices of processes that are gone, by the list of targets.
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 
 from foxtailreach.core.dispatch.messages import SendOutcome
-from foxtailreach.core.dispatch.target_notices import TargetNotice
+from foxtailreach.core.dispatch.target_notices import NO_NOTICE, TargetNotice
 from foxtailreach.core.verdict import Reason, Verdict
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -127,8 +127,8 @@
     granted_version: int = -1
     known_version: int = -1
     is_known_as_left: bool = False
-    notice: TargetNotice = field(default_factory=TargetNotice)
-    said: TargetNotice = field(default_factory=TargetNotice)
+    notice: TargetNotice = NO_NOTICE
+    said: TargetNotice = NO_NOTICE
 
 
 def bounded_number(digits: bytes | str, highest: int) -> int:
--- a/foxtailreach/gateway/notice_reader.py
+++ b/foxtailreach/gateway/notice_reader.py
@@ -9,6 +9,7 @@
 
 from foxtailreach.core.dispatch.target_notices import (
     MAX_PAUSE_US,
+    NO_NOTICE,
     TargetNotice,
 )
 from foxtailreach.core.units import SECOND_US
@@ -31,18 +32,21 @@
 ) -> TargetNotice:
     """Read the notice in an answer of a target to its own request.
 
+    Names of headers are in lower case.
+
     A pause is asked for by a 503 alone. Of several values the longest pause
     counts; values that are no number of seconds are ignored.
     """
     is_leaving = False
     pause_us = 0
     for name, text in headers:
-        lowered = name.lower()
-        if lowered == leaving_header:
+        if name == leaving_header:
             is_leaving = is_leaving or _is_leaving(text)
-        elif lowered == PAUSE_HEADER and status == _PAUSE_STATUS:
+        elif name == PAUSE_HEADER and status == _PAUSE_STATUS:
             pause_us = max(pause_us, _parse_pause_us(text))
-    return TargetNotice(is_leaving, pause_us)
+    if is_leaving or pause_us:
+        return TargetNotice(is_leaving, pause_us)
+    return NO_NOTICE
 
 
 def _is_leaving(text: bytes) -> bool:
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -14,14 +14,14 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import h11
 from tornado.iostream import IOStream, StreamClosedError
 
 from foxtailreach.core.dispatch.messages import SendOutcome, SlotGrant
-from foxtailreach.core.dispatch.target_notices import TargetNotice
+from foxtailreach.core.dispatch.target_notices import NO_NOTICE, TargetNotice
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.http_types import (
@@ -70,7 +70,7 @@
     body: bytes = b''
     is_reused: bool = False
     cause: str = ''
-    notice: TargetNotice = field(default_factory=TargetNotice)
+    notice: TargetNotice = NO_NOTICE
 
 
 class _ConnectionLostError(Exception):
--- a/foxtailreach/tests/platform/fakes.py
+++ b/foxtailreach/tests/platform/fakes.py
@@ -5,10 +5,12 @@
 import asyncio
 import base64
 import json
+import math
 import struct
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -149,7 +151,14 @@
     service: str = 'stock'
     delay_s: float = 0.0
     status: Callable[[], int] = lambda: 200
+    # Says so in all its answers.
+    is_leaving: bool = False
+    says_leaving_s: float = math.inf
+    # Turns requests away until then, by the loop's time, and asks for a pause.
+    paused_until_s: float = 0
+    # Requests that it ran, and those that it turned away.
     seen: list[ReceivedRequest] = field(default_factory=list)
+    declined: list[ReceivedRequest] = field(default_factory=list)
     port: int = 0
     server: HTTPServer | None = None
     sequence: int = 0
@@ -184,19 +193,27 @@
     async def get(self) -> None:
         headers = dict(self.request.headers.get_all())
         request_id = headers.get('X-Foxtailreach-Request-Id', '')
-        self.target.seen.append(
-            ReceivedRequest(
-                request_id,
-                self.request.uri or '',
-                headers.get('X-Foxtailreach-Tenant-Id', ''),
-                headers,
-                self.request.body,
-                asyncio.get_running_loop().time(),
-            ),
+        received = ReceivedRequest(
+            request_id,
+            self.request.uri or '',
+            headers.get('X-Foxtailreach-Tenant-Id', ''),
+            headers,
+            self.request.body,
+            asyncio.get_running_loop().time(),
         )
+        self.set_header('X-Foxtailreach-Request-Id', request_id)
+        if self.target.is_leaving:
+            self.set_header('Server-Leaving', '1')
+        pause_s = self.target.paused_until_s - asyncio.get_running_loop().time()
+        if pause_s > 0:
+            self.target.declined.append(received)
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            self.set_header('X-Foxtailreach-Not-Executed', '1')
+            self.set_header('Retry-After', f'{pause_s:.3f}')
+            return
+        self.target.seen.append(received)
         await asyncio.sleep(self.target.delay_s)
         self.set_status(self.target.status())
-        self.set_header('X-Foxtailreach-Request-Id', request_id)
         self.set_header('X-Foxtailreach-Response-Signature', 'signed')
         self.write(f'{self.target.target_id} {self.request.uri}')
 
--- a/foxtailreach/tests/platform/soak.py
+++ b/foxtailreach/tests/platform/soak.py
@@ -67,6 +67,8 @@
     stops: list[tuple[str, float]] = field(default_factory=list)
     kills: list[tuple[str, float]] = field(default_factory=list)
     left_s: dict[str, float] = field(default_factory=dict)
+    # Pauses that targets asked for: target, start and end.
+    pauses: list[tuple[str, float, float]] = field(default_factory=list)
     withdrawn: list[tuple[float, float]] = field(default_factory=list)
     version: int = 1
     has_second_key: bool = True
@@ -123,6 +125,7 @@
             self._reload,
             self._change_configuration,
             self._drain_target,
+            self._pause_target,
             self._remove_target,
             self._add_target,
             self._take_store_down,
@@ -156,8 +159,55 @@
             self._check_drain(sent, arrivals)
             self._check_key(sent)
             self._check_stop(sent)
+        for target in self.fleet.targets:
+            self._check_pauses(target)
+            self._check_told(target)
         return self.violations
 
+    def _check_told(self, target: Target) -> None:
+        """Check that a host to which a target has said that it leaves obeys.
+
+        Only a kill, a stop or a pause of the host since then excuses it.
+        """
+        told_s: dict[str, float] = {}
+        hosts = {sent.request_id: sent for sent in self.sent}
+        arrivals = [*target.seen, *target.declined]
+        for received in sorted(arrivals, key=lambda one: one.at_s):
+            sent = hosts.get(received.request_id)
+            if sent is None:
+                continue
+            since_s = told_s.get(sent.host)
+            if since_s is not None and sent.at_s > since_s + DRAIN_BOUND_S:
+                if not self.is_disturbed(sent.host, since_s, received.at_s):
+                    self.violations.append(f'DRAIN, told: {sent}')
+            says_so = target.says_leaving_s <= received.at_s
+            if (
+                says_so
+                and sent.answer is not None
+                and sent.answer.status == 200
+            ):
+                told_s.setdefault(sent.host, received.at_s)
+
+    def _check_pauses(self, target: Target) -> None:
+        """Check that no host sends more than two requests into a pause."""
+        hosts = {sent.request_id: sent.host for sent in self.sent}
+        for target_id, start_s, end_s in self.pauses:
+            if target_id != target.target_id:
+                continue
+            arrivals: dict[str, list[float]] = {}
+            for received in target.declined:
+                if start_s <= received.at_s < end_s:
+                    host = hosts.get(received.request_id, '')
+                    arrivals.setdefault(host, []).append(received.at_s)
+            for host, times_s in arrivals.items():
+                late = [at_s for at_s in times_s if at_s > times_s[0] + 0.5]
+                if len(late) > 2 and not self.is_disturbed(
+                    host, start_s, end_s
+                ):
+                    self.violations.append(
+                        f'PAUSE: {target_id} got {len(late)} from {host}'
+                    )
+
     async def _put(self, target: Target, entry: dict[str, Any] | None) -> None:
         await self.fleet.store.put('keyed.servers', target.target_id, entry)
 
@@ -337,8 +387,23 @@
 
     async def _drain_target(self) -> None:
         target = self._leaving_target()
-        if target is not None:
-            await self._put(target, target.entry('draining'))
+        if target is None:
+            return
+        # At times it says so in its answers before its entry does.
+        if self.rng.random() < 0.5:
+            target.is_leaving = True
+            target.says_leaving_s = self.now_s()
+            await asyncio.sleep(self.rng.uniform(0, 1))
+        await self._put(target, target.entry('draining'))
+
+    async def _pause_target(self) -> None:
+        """Let a target turn requests away, and ask for quiet meanwhile."""
+        target = self.rng.choice(self.fleet.targets)
+        start_s = self.now_s()
+        if target.paused_until_s > start_s:
+            return
+        target.paused_until_s = start_s + self.rng.uniform(0.5, 4)
+        self.pauses.append((target.target_id, start_s, target.paused_until_s))
 
     async def _remove_target(self) -> None:
         """Remove a target, at times shortly after a host was refused."""
