Count first grants for the coverage, and let a broker that takes over begin with the idle targets

Fewer than 8 grants are not extrapolated. 1.5 requests a target in 1.5 s are ample, two in the window of the floor.

The replay of lost hosts gave the new broker the start of the fleet as its own, so its figures with the broker lost were too bad, also those of the code before: the extrapolation could not act in it.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -524,9 +524,10 @@
         is_probe = lacks_fresh_evidence(record, now_us)
         is_after_failure = has_failed_last(record)
         record.grant(holder, now_us)
-        self._outcomes.record_grant(now_us)
         if slot_request.is_repeat:
             self._retry_budget.record_retry(now_us)
+        else:
+            self._outcomes.record_grant(now_us)
         grant = messages.SlotGrant(
             ask_id=slot_request.ask_id,
             target_id=record.spec.target_id,
--- a/foxtailreach/core/dispatch/cover.py
+++ b/foxtailreach/core/dispatch/cover.py
@@ -39,7 +39,8 @@
 # rise within a second.
 FAILING_SHARE = 0.06
 FAILING_WINDOW_US = 1500 * MILLISECOND_US
-# With fewer requests, one failure says little about the share.
+# With fewer requests, one failure says little about the share, and their rate
+# is not known.
 MIN_REQUESTS = 8
 # With fewer requests per target in the window the floor is out of reach, and
 # probes would only make requests fail.
@@ -56,7 +57,7 @@
 RECOVERY_PER_FAILURE = 1.06
 # With this many requests per target in the window, each target that may be
 # healthy gets one, so that the floor holds among any part of them too.
-AMPLE_REQUESTS_PER_TARGET = 1.6
+AMPLE_REQUESTS_PER_TARGET = 1.5
 # The requests of a shorter time say too little about their rate.
 MIN_RATE_TIME_US = 300 * MILLISECOND_US
 # A failure that follows a success this closely is mostly a single error, not
@@ -84,7 +85,8 @@
     that a target without fresh evidence is healthy, `recovery_us` the time
     after a failure from which on it applies; `is_failing` tells that many
     requests fail, `is_ample` that there are enough for all targets.
-    `requests_per_target` counts the window at its present rate.
+    `requests_per_target` counts the window at its present rate. A broker
+    `is_taking_over` while it has seen less than the window.
     """
 
     is_needed: bool = False
@@ -95,6 +97,7 @@
     unproven_probability: float = INITIAL_PROBE_SUCCESS**2
     recovery_us: int = INITIAL_RECOVERY_US
     is_failing: bool = False
+    is_taking_over: bool = False
 
     @property
     def scope(self) -> CoverageScope:
@@ -115,8 +118,8 @@
 class RecentOutcomes:
     """Grants and outcomes of the last seconds, refusals included.
 
-    The number of requests is that of the grants. Outcomes are fewer: those of
-    requests whose caller left, or whose host was lost, are not known.
+    The number of requests is that of their first grants. Outcomes are fewer:
+    those of requests whose caller left, or whose host was lost, are not known.
     """
 
     __slots__ = (
@@ -136,7 +139,7 @@
         self._recovery_us = float(INITIAL_RECOVERY_US)
 
     def record_grant(self, now_us: int) -> None:
-        """Count a request that was granted a slot."""
+        """Count the first grant of a request."""
         self._granted_us.append(now_us)
 
     def record_request(self, now_us: int, *, is_served: bool) -> None:
@@ -183,6 +186,7 @@
             unproven_probability=self._probe_success_rate**2,
             recovery_us=int(self._recovery_us),
             is_failing=unserved_share > FAILING_SHARE,
+            is_taking_over=now_us - self._started_us < FAILING_WINDOW_US,
         )
 
     def _requests(self, now_us: int) -> float:
@@ -193,11 +197,14 @@
         horizon_us = now_us - FAILING_WINDOW_US
         while self._granted_us and self._granted_us[0] < horizon_us:
             self._granted_us.popleft()
+        count = len(self._granted_us)
+        if count < MIN_REQUESTS:
+            return count
         seen_us = min(
             FAILING_WINDOW_US,
             max(MIN_RATE_TIME_US, now_us - self._started_us),
         )
-        return len(self._granted_us) * FAILING_WINDOW_US / seen_us
+        return count * FAILING_WINDOW_US / seen_us
 
 
 def underused_targets(
@@ -207,13 +214,13 @@
     *,
     is_probe: bool = False,
 ) -> list[TargetRecord]:
-    """List the targets that need a request, the most urgent ones first.
+    """List the targets that need a request, the likeliest healthy ones first.
 
-    While requests are ample, these are all that may be healthy, those idle for
-    longest first. Otherwise the likeliest healthy ones come first, and the list
-    is empty while enough of the healthy targets are in use. For a probe that is
-    all of them: it costs only a retry, keeps the evidence fresh, and a loss of
-    hosts leaves no time to widen the use.
+    While requests are ample, these are all that may be healthy. Otherwise
+    return an empty list while enough of the healthy targets are in use. For a
+    probe that is all of them: it costs only a retry, keeps the evidence fresh,
+    and a loss of hosts leaves no time to widen the use. A broker that takes
+    over begins with those that have been idle for longest.
     """
     if not demand.is_needed:
         return []
@@ -231,7 +238,10 @@
     used = total - sum(probability for probability, _ in idle)
     if not is_probe and used >= _required_share(total, demand) * total:
         idle = [pair for pair in idle if _is_due(pair[1], demand, now_us)]
-    idle.sort(key=_likelihood, reverse=True)
+    if demand.is_taking_over:
+        idle.sort(key=_idle_since_us)
+    else:
+        idle.sort(key=_likelihood, reverse=True)
     return [record for _, record in idle]
 
 
@@ -274,6 +284,10 @@
     return ended_share * demand.unproven_probability
 
 
+def _idle_since_us(pair: tuple[float, TargetRecord]) -> int:
+    return pair[1].last_grant_us
+
+
 def _likelihood(pair: tuple[float, TargetRecord]) -> tuple[float, int, int]:
     probability, record = pair
     return probability, record.last_served_us, -record.last_failed_us
--- a/foxtailreach/tests/dispatch/fixtures.py
+++ b/foxtailreach/tests/dispatch/fixtures.py
@@ -44,14 +44,16 @@
     return replace(base, **changes)  # type: ignore[arg-type]
 
 
-def create_broker(targets: int = 4, **changes: object) -> Broker:
+def create_broker(
+    targets: int = 4, now_us: int = START_US, **changes: object
+) -> Broker:
     """Create a broker with targets that are ready for requests."""
-    broker = Broker(SERVICE, RETRY_POLICY, random.Random(1), START_US)
+    broker = Broker(SERVICE, RETRY_POLICY, random.Random(1), now_us)
     broker.update_targets(
         SERVICE,
         [spec(index, **changes) for index in range(targets)],
         frozenset(),
-        START_US,
+        now_us,
     )
     return broker
 
--- a/foxtailreach/tests/dispatch/host_loss_replay.py
+++ b/foxtailreach/tests/dispatch/host_loss_replay.py
@@ -170,7 +170,7 @@
             if not self._has_new_broker:
                 self._has_new_broker = True
                 digest = self._broker.digest(now_us)
-                self._broker = create_broker(self._load.targets)
+                self._broker = create_broker(self._load.targets, now_us)
                 self._broker.merge_evidence(digest, now_us)
         if self._is_lost_time(now_us - LOSS_DETECTED_US):
             if not self._is_loss_known:
