--- a/foxtailreach/tests/platform/soak.py
+++ b/foxtailreach/tests/platform/soak.py
@@ -148,15 +148,18 @@
 
     def check(self) -> list[str]:
         """Return all violations of the promises."""
-        seen: dict[str, list[tuple[str, float]]] = {}
+        ran: dict[str, list[tuple[str, float]]] = {}
+        reached: dict[str, list[tuple[str, float]]] = {}
         for target in self.fleet.targets:
             for received in target.seen:
-                arrivals = seen.setdefault(received.request_id, [])
+                runs = ran.setdefault(received.request_id, [])
+                runs.append((target.target_id, received.at_s))
+            for received in (*target.seen, *target.declined):
+                arrivals = reached.setdefault(received.request_id, [])
                 arrivals.append((target.target_id, received.at_s))
         for sent in self.sent:
-            arrivals = seen.get(sent.request_id, [])
-            self._check_runs(sent, arrivals)
-            self._check_drain(sent, arrivals)
+            self._check_runs(sent, ran.get(sent.request_id, []))
+            self._check_drain(sent, reached.get(sent.request_id, []))
             self._check_key(sent)
             self._check_stop(sent)
         for target in self.fleet.targets:
