Review: a crashing request passes again while hosts restart in turn

Seen: a broker that starts does not know which requests crash targets, and none of the others tells it.

--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -299,6 +299,10 @@
     born: int = 0
     port: int = 0
     beats: bool = True
+    # Tells which requests crash the back end, and what to call then.
+    crashes_on: Callable[[Message], bool] = lambda request: False
+    on_crash: Callable[[Server], None] = lambda server: None
+    warm_up_ms: int = 0
 
     async def open(self) -> None:
         """Listen at a free port."""
@@ -327,11 +331,22 @@
             'version': 'v1',
             'slots': self.slots,
             'state': self.state,
-            'warmup_left_ms': 0,
+            'warmup_left_ms': self._warm_up_left_ms(),
             'sequence': self.sequence,
             'born': self.born,
         }
 
+    def _warm_up_left_ms(self) -> int:
+        left_ms = self.born + self.warm_up_ms - int(time.time() * 1000)
+        return max(0, left_ms)
+
+    def _crash(self, request_id: str) -> None:
+        """End without a word: all connections are reset."""
+        self.record.write(f'{self.server_id} crashes on {request_id}')
+        self.beats = False
+        self.close()
+        self.on_crash(self)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -391,6 +406,11 @@
             f'run by {self.server_id}: {request_id} {request.line!r} '
             f'tenant={headers.get(TENANT.lower())}'
         )
+        if self.crashes_on(request):
+            run.was_cut = True
+            self._free.release()
+            self._crash(request_id)
+            return False
         gone = asyncio.ensure_future(reader.read(1))
         try:
             left_s = limit_at - time.monotonic()
