Review: a withdrawn key is used for good after a freeze of 1.25 s

Seen: hosts of a zone adopt a version number from another zone, whose reader has numbered the same records otherwise; the next change has that number already, so they never take it.

--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -136,6 +136,8 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.denied: dict[str, int] = {}
         self.turned_away: dict[str, int] = {}
+        # When a host's last read of a topic was answered.
+        self.read_s: dict[tuple[str, str], float] = {}
         self.calls: list[tuple[float, str, str]] = []
         self._changed = asyncio.Condition()
         self._servers: list[asyncio.Server] = []
@@ -205,7 +207,9 @@
         if call == 'log-newest':
             return self._newest(topic, query.get('after', ''))
         if call == 'log-read':
-            return await self._read(topic, query)
+            answer = await self._read(topic, query)
+            self.read_s[host, topic] = self.record.now()
+            return answer
         if call == 'log-append':
             return await self._take(topic, request.body)
         return answer_bytes(404, {})
