--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
 """A key is withdrawn long after one host has stood still for 1.25 s.
 
-Before, a zone is evacuated, the configuration changes, and the host of that zone
-is stopped and started again. Then the host of the other zone that reads the
-store stands still for a moment. After that nothing is disturbed any more.
+Before, a zone is evacuated for 8 s; meanwhile the configuration changes, and the
+host of that zone is stopped and started again. Then the host of the other zone
+that reads the store stands still for a moment. After that nothing is disturbed
+any more.
 """
 
 from __future__ import annotations
@@ -21,6 +22,8 @@
 HOSTS = {f'edge-north-{number}': 'north' for number in range(1, 7)}
 HOSTS[LONE] = 'south'
 TOPIC = 'keyed.op'
+# `evacuate` in the site file.
+EVACUATED_S = 8.0
 FREEZE_S = 1.25
 # Longer than contact_ms and max_stretch_ms.
 CALM_S = 9.0
@@ -47,16 +50,20 @@
         for host in HOSTS:
             await fleet.wait_ready(host)
         await asyncio.sleep(4)
+        start_s = record.now()
         await put(TOPIC, 'evacuate/south', {})
         record.write('the zone south is evacuated')
-        await asyncio.sleep(2)
+        await asyncio.sleep(1)
         second = kit.configuration(6, keys=both, route=ROUTE)
         await put(TOPIC, 'config', second)
         record.write('configuration 6 acknowledged')
-        await asyncio.sleep(3)
+        await asyncio.sleep(0.5)
         await fleet.stop(LONE)
         await fleet.start(LONE)
         await fleet.wait_ready(LONE)
+        await asyncio.sleep(max(0, start_s + EVACUATED_S - record.now()))
+        await put(TOPIC, 'evacuate/south', None)
+        record.write('the zone south is taken back')
         await asyncio.sleep(5)
         if kit.TROUBLE:
             await freeze_reader(fleet)
