--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -543,6 +544,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.ended: list[str] = []
         self.ports = 0
+        # Scripts that run at the same time use different loopback addresses.
+        self._net = f'{random.randint(1, 250)}.{random.randint(1, 250)}'
         self._ids = 0
         self._started: set[str] = set()
         self._store_ports: dict[str, int] = {}
@@ -558,7 +561,7 @@
 
     def ip(self, host: str) -> str:
         """Return the loopback address of a host."""
-        return f'127.0.0.{11 + list(self.zones).index(host)}'
+        return f'127.{self._net}.{11 + list(self.zones).index(host)}'
 
     async def open(self) -> None:
         """Find ports and a folder, and begin with the back ends' entries."""
@@ -577,7 +580,7 @@
 
     def _free_ports(self) -> int:
         """Return the first of four ports that are free at all hosts."""
-        first = 20000 + os.getpid() % 8000
+        first = random.randrange(20000, 30000, 10)
         for base in [*range(first, 32000, 10), *range(20000, first, 10)]:
             sockets = []
             try:
