Compare replicas of the platform's topics by offsets of the store

Cause: TopicMirror numbered versions by the order in which a host applied records. A list of a topic, its log and a copy gave different numbers for the same content, yet notices, pulls, deltas, confirmations and the check of a broker's list of targets compared them between hosts. After the freeze of its reader a domain held a copy with a higher number than its reader, took the next change for old, and its own configuration for confirmed.

Change: a version says from which to which offset of the store the content is known, whatever the path. A host is behind if another knows of a change at or after its own next offset. Where offsets overlap the content must be equal; a digest of keys and values (before: of keys) shows if it is not, and the topic is copied whole or listed again. Copies pass the same check for stale records as the log, so that a copy can't bring back an older configuration. The topic of the hosts and the grants of brokers use the same versions.

Why it works: both offsets are the store's, so that no path can number the same content differently.

The regression tests of this module use the renamed fields of the messages. Hosts of this build do not work beside those of the last one (TopicVersion and TopicCopy).

--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -97,8 +97,8 @@
     """Grants a slot for one request on a target.
 
     `proven_age_us` is the age of the target's last success; -1 if the target
-    is unproven. `state_version` is the version of the list of targets that the
-    broker granted by; -1 if it never got one.
+    is unproven. The broker granted by a list of targets that it has known to be
+    the same since `state_version`, an offset; -1 if it never got one.
     """
 
     ask_id: int
@@ -264,10 +264,17 @@
 
 @dataclass(slots=True, frozen=True)
 class TopicVersion:
-    """Version of one mirrored topic: it holds all changes below `offset`."""
+    """Content of one mirrored topic, by offsets of the store.
+
+    The topic was read up to `next_offset`; none of its records from
+    `changed_offset` on is a change. `digest` hashes all keys and values. The
+    offsets are -1 if the topic was never read.
+    """
 
     topic: str
-    offset: int
+    changed_offset: int
+    next_offset: int
+    digest: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -307,19 +314,26 @@
 
 @dataclass(slots=True, frozen=True)
 class TopicCopy:
-    """Delta of a topic from `base_version` to `version`.
+    """Changes of a topic since `base_offset`; see `TopicVersion`.
 
-    A `base_version` of -1 means that all records are included. The topic was
-    read up to `next_offset`; `key_digest` hashes all keys after the change.
+    A `base_offset` of -1 means that all records are included. `digest` hashes
+    all keys and values after the change.
     """
 
     topic: str
-    base_version: int
-    version: int
+    base_offset: int
+    changed_offset: int
     next_offset: int
     records: tuple[KeyedRecord, ...]
     removed: tuple[str, ...]
-    key_digest: int
+    digest: int
+
+    @property
+    def version(self) -> TopicVersion:
+        """Version of the topic after the change."""
+        return TopicVersion(
+            self.topic, self.changed_offset, self.next_offset, self.digest
+        )
 
 
 @dataclass(slots=True, frozen=True)
--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -28,7 +28,7 @@
 )
 from foxtailreach.core.dispatch.host_messages import Effects
 from foxtailreach.core.dispatch.messages import KeyedRecord
-from foxtailreach.core.dispatch.mirror import TopicMirror
+from foxtailreach.core.dispatch.mirror import StateMirror, TopicMirror
 from foxtailreach.core.dispatch.outages import OutageDetector
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
@@ -169,6 +169,8 @@
             )
             if message.is_reading:
                 self._outages.record_read(message.log_offset, now_us)
+        self.mirror.follow(message.versions)
+        _mark_contradicted(self.mirror, sender, message.versions)
         if self.mirror.is_diverged or self.mirror.is_behind(message.versions):
             asyncio.ensure_future(
                 self._puller.pull_noticed(sender, message.versions)
@@ -390,7 +392,7 @@
         return topic.fold(newer, page.next_offset)
 
     async def _fetch(self, topic: TopicMirror, wait_ms: int) -> TopicPage:
-        if topic.is_read:
+        if topic.is_read and not topic.is_diverged:
             try:
                 return await self._store.read(
                     topic.name,
@@ -496,9 +498,10 @@
         if is_changed:
             self._apply_hosts()
             self._apply_state(sender)
-        versions = [
-            messages.TopicVersion(one.topic, one.version) for one in copy.topics
-        ]
+        versions = [one.version for one in copy.topics]
+        if self.mirror.contradicted(versions):
+            # The sender may lack what this host holds.
+            self._peers.send(sender, self._notice(boot_time_us()))
         if not self._lacks_operator_changes(versions):
             self._confirm(copy.confirmed_age_us, sent_us)
 
@@ -510,11 +513,14 @@
     def _lacks_operator_changes(
         self, versions: Iterable[messages.TopicVersion]
     ) -> bool:
-        """Whether another host knows of changes that this one has not."""
-        return self.mirror.is_behind(
+        """Whether another host knows other changes than this one."""
+        operator_versions = [
             version
             for version in versions
             if version.topic == records.OPERATOR_TOPIC
+        ]
+        return self.mirror.is_behind(operator_versions) or bool(
+            self.mirror.contradicted(operator_versions)
         )
 
     def _apply_state(self, source: str) -> None:
@@ -532,7 +538,7 @@
             targets,
             evacuated,
             boot_time_us(),
-            targets_topic.version,
+            targets_topic.changed_offset,
         )
         self._on_effects(effects)
         if deployment is not None and deployment is not previous:
@@ -572,6 +578,19 @@
         return state is not None and state.entry.domain == self._entry.domain
 
 
+def _mark_contradicted(
+    mirror: StateMirror, sender: str, versions: Iterable[messages.TopicVersion]
+) -> None:
+    """Request a whole copy of the topics that differ at the same offset."""
+    for topic in mirror.contradicted(versions):
+        topic.is_diverged = True
+        logger.bind(
+            topic=topic.name,
+            changed_offset=topic.changed_offset,
+            next_offset=topic.next_offset,
+        ).warning('content differs from that of {}', sender)
+
+
 def _removed_keys(topic: TopicMirror, page: TopicPage) -> list[str]:
     """Return the known keys that a page removes."""
     newest = {record.key: record for record in page.records}
--- a/foxtailreach/platform/records.py
+++ b/foxtailreach/platform/records.py
@@ -58,7 +58,7 @@
     return StateMirror(
         (
             TopicMirror(OPERATOR_TOPIC, _classify_operator),
-            TopicMirror(TARGETS_TOPIC, classify_target),
+            TopicMirror(TARGETS_TOPIC, classify_target, _target_fingerprint),
             TopicMirror(HOSTS_TOPIC, _classify_host),
         ),
     )
@@ -140,6 +140,17 @@
     return Change.REPEATED
 
 
+def _target_fingerprint(record: KeyedRecord) -> bytes:
+    """Return what all hosts know of a target, whichever entry they read.
+
+    Heartbeats, and the time that is left of a warm-up, differ between them.
+    """
+    target = decode_target(record)
+    if target is None:
+        return record.payload
+    return repr(replace(target, warm_up_left_us=0)).encode()
+
+
 def request_priority(customer: CustomerSpec | None, route: RouteSpec) -> int:
     """Return the priority of a request; 0 is the highest."""
     if customer is None:
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -75,7 +75,9 @@
 
 struct HostUnknown { 1: string host_id }
 
-struct TopicVersion { 1: string topic, 2: i64 offset }
+struct TopicVersion {
+  1: string topic, 2: i64 changed_offset, 3: i64 next_offset, 4: i64 digest
+}
 
 struct StateNotice {
   1: list<TopicVersion> versions, 2: i64 age_us, 3: bool is_reading,
@@ -87,9 +89,9 @@
 struct KeyedRecord { 1: string key, 2: binary payload, 3: i64 offset }
 
 struct TopicCopy {
-  1: string topic, 2: i64 version, 3: i64 next_offset,
-  4: list<KeyedRecord> records, 5: i64 base_version,
-  6: list<string> removed, 7: i64 key_digest
+  1: string topic, 2: i64 changed_offset, 3: i64 next_offset,
+  4: list<KeyedRecord> records, 5: i64 base_offset,
+  6: list<string> removed, 7: i64 digest
 }
 
 struct StateCopy {
--- a/foxtailreach/tests/gateway/state_puller_tests.py
+++ b/foxtailreach/tests/gateway/state_puller_tests.py
@@ -13,7 +13,7 @@
 from foxtailreach.tests.dispatch.fleet_tests import create_fleet
 from foxtailreach.tests.platform.records_tests import CONFIGURATION, mirror_with
 
-NEWER = (TopicVersion(records.OPERATOR_TOPIC, 9),)
+NEWER = (TopicVersion(records.OPERATOR_TOPIC, 9, 9, 0),)
 
 
 def test_silent_hosts_hold_up_the_pull_from_another(
--- a/foxtailreach/tests/platform/departed_targets_tests.py
+++ b/foxtailreach/tests/platform/departed_targets_tests.py
@@ -342,7 +342,7 @@
         await asyncio.sleep(0.1)
         assert 't0' in reader.listed
         # The sender's version is newer, but not its list.
-        newer = (TopicVersion(records.TARGETS_TOPIC, 9),)
+        newer = (TopicVersion(records.TARGETS_TOPIC, 9, 9, 0),)
         reader.receive_notice('h1', newer)
         await asyncio.sleep(0.1)
         topic.fold([KeyedRecord('t0', b'', 1)], 2)
