Keep a read of a stream when the wait for it times out

The host printed "AssertionError: Already reading".

Cause: the idle timeout cancelled the wait for a read of an IOStream. The read itself stays pending in the stream, so the next one failed its assertion, and the connection was closed with all requests in flight. The idle time also ran from the end of a request instead of from its answer.

Change: ChunkReader is the only reader of a stream. A read whose caller stops waiting goes on, and the next caller gets its chunk. Callers are idle from their last answer on. The reader of requests, the watch for disconnects at a stop and the connections to targets use the same class, in place of three own reads.

Why it works: no timeout cancels a read any more, so that none can be pending unknown to its reader, whichever timeout it is and however often it passes.

--- /dev/null
+++ b/foxtailreach/gateway/chunk_reader.py
@@ -0,0 +1,69 @@
+"""Reads a stream in chunks, whoever stops waiting for one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+
+from tornado.iostream import IOStream
+
+READ_BYTES = 65_536
+
+
+class ChunkReader:
+    """The only reader of a stream, with at most one read pending.
+
+    Cancelling a read does not take it back from the stream, which allows no
+    second one. So a read goes on when its caller stops waiting, by a timeout
+    for example, and the next caller gets its chunk.
+    """
+
+    __slots__ = ('_reading', '_stream')
+
+    def __init__(self, stream: IOStream) -> None:
+        """Read from a stream that nobody else reads from."""
+        self._stream = stream
+        self._reading: asyncio.Task[bytes] | None = None
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether a read has got a chunk or an error that nobody took."""
+        return self._reading is not None and self._reading.done()
+
+    def start(self) -> asyncio.Task[bytes]:
+        """Start a read, unless one is pending, and return it."""
+        if self._reading is None:
+            self._reading = asyncio.ensure_future(
+                _as_coroutine(
+                    self._stream.read_bytes(READ_BYTES, partial=True),
+                ),
+            )
+            self._reading.add_done_callback(_ignore_result)
+        return self._reading
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for a chunk or an error; return whether there is one."""
+        await asyncio.wait((self.start(),), timeout=timeout_s)
+        return self.has_ended
+
+    async def read(self) -> bytes:
+        """Return the next chunk; raise StreamClosedError at the end."""
+        reading = self.start()
+        await asyncio.wait((reading,))
+        self._reading = None
+        return reading.result()
+
+    def cancel(self) -> None:
+        """Stop the pending read of a closed stream."""
+        if self._reading is not None:
+            self._reading.cancel()
+
+
+async def _as_coroutine(awaitable: Awaitable[bytes]) -> bytes:
+    return await awaitable
+
+
+def _ignore_result(task: asyncio.Task[bytes]) -> None:
+    """Mark an exception of a read as handled, as nobody may wait for it."""
+    if not task.cancelled():
+        task.exception()
--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -12,6 +12,7 @@
 from tornado.tcpserver import TCPServer
 
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
@@ -19,7 +20,6 @@
     forwarded_headers,
 )
 from foxtailreach.gateway.request_reader import (
-    READ_BYTES,
     ReaderOptions,
     RequestError,
     RequestReader,
@@ -29,6 +29,7 @@
 MAX_PIPELINED_REQUESTS = 16
 # Read buffer of a connection, which bounds the memory for a body.
 MAX_BUFFER_BYTES = 80 * 1024 * 1024
+MIN_IDLE_WAIT_US = 10 * MILLISECOND_US
 
 Handle = Callable[[CallerRequest], Awaitable[CallerAnswer]]
 
@@ -79,6 +80,7 @@
     __slots__ = (
         '_frontend',
         '_handle',
+        '_idle_since_us',
         '_is_closing',
         '_options',
         '_reader',
@@ -103,6 +105,8 @@
         self._reader = RequestReader(stream, options)
         self._running: set[asyncio.Task[CallerAnswer]] = set()
         self._is_closing = False
+        # The last answer, or the start of the connection.
+        self._idle_since_us = boot_time_us()
 
     async def serve(self) -> None:
         """Serve until the connection closes, then cancel what is in flight."""
@@ -163,8 +167,10 @@
 
     async def _wait_for_request(self) -> bool:
         """Wait until a request begins; False if none is to be read."""
-        while not await self._reader.wait_for_bytes():
-            if not self.unanswered:
+        wait_us = self._idle_left_us()
+        while not await self._reader.wait_for_bytes(wait_us):
+            wait_us = max(MIN_IDLE_WAIT_US, self._idle_left_us())
+            if not self.unanswered and self._idle_left_us() <= 0:
                 return False
         if self._frontend.is_stopping and self.unanswered:
             # The last answer closes the connection; a caller resends what was
@@ -173,29 +179,34 @@
             return False
         return True
 
+    def _idle_left_us(self) -> int:
+        """Return how long the caller may still be idle.
+
+        A caller that waits for an answer is not idle.
+        """
+        idle_timeout_us = self._options.limits().idle_timeout_us
+        if self.unanswered:
+            return idle_timeout_us
+        return self._idle_since_us + idle_timeout_us - boot_time_us()
+
     async def _watch_until_answered(self) -> None:
         """Read and discard bytes until every request is answered.
 
         Raises StreamClosedError if the caller disconnects before.
         """
-        while self.unanswered:
-            reading = asyncio.ensure_future(
-                _as_coroutine(
-                    self._stream.read_bytes(READ_BYTES, partial=True),
-                ),
-            )
-            waiting = asyncio.ensure_future(self._wait_until_answered())
-            done, _ = await asyncio.wait(
-                (reading, waiting),
+        discarding = asyncio.ensure_future(self._reader.discard())
+        answering = asyncio.ensure_future(self._wait_until_answered())
+        try:
+            await asyncio.wait(
+                (discarding, answering),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            waiting.cancel()
-            if reading not in done:
-                reading.cancel()
-                self._is_closing = True
-                return
-            reading.result()
+        finally:
+            discarding.cancel()
+            answering.cancel()
         self._is_closing = True
+        if discarding.done():
+            discarding.result()
 
     async def _wait_until_answered(self) -> None:
         while self._running:
@@ -232,6 +243,7 @@
             with suppress(StreamClosedError):
                 await self._stream.write(payload)
             self.unanswered -= 1
+            self._idle_since_us = boot_time_us()
             if must_close or parser.our_state is h11.MUST_CLOSE:
                 self._stream.close()
                 return
@@ -298,7 +310,3 @@
 
 def _wants_close(request: CallerRequest) -> bool:
     return b'close' in find_header(request.headers, b'connection').lower()
-
-
-async def _as_coroutine(awaitable: Awaitable[bytes]) -> bytes:
-    return await awaitable
--- a/foxtailreach/gateway/request_reader.py
+++ b/foxtailreach/gateway/request_reader.py
@@ -19,6 +19,7 @@
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.chunk_reader import ChunkReader
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
@@ -29,7 +30,6 @@
     refusal,
 )
 
-READ_BYTES = 65_536
 # Time limit for requests without a deadline header.
 DEFAULT_TIME_LEFT_US = 30 * SECOND_US
 MAX_TIME_LEFT_MS = 24 * 3600 * 1000
@@ -88,27 +88,36 @@
     `is_reading` tells that a request has begun to arrive.
     """
 
-    __slots__ = ('_buffer', '_options', '_stream', 'is_reading')
+    __slots__ = ('_buffer', '_chunks', '_options', '_stream', 'is_reading')
 
     def __init__(self, stream: IOStream, options: ReaderOptions) -> None:
         """Read from a stream that nobody else reads from."""
         self.is_reading = False
         self._stream = stream
+        self._chunks = ChunkReader(stream)
         self._options = options
         self._buffer = b''
 
-    async def wait_for_bytes(self) -> bool:
-        """Wait for the first bytes of a request; false on an idle timeout."""
+    async def wait_for_bytes(self, timeout_us: int) -> bool:
+        """Wait for the first bytes of a request; false if none arrived.
+
+        Can be called again then. Raises StreamClosedError if the caller closed.
+        """
         self.is_reading = False
         if not self._buffer:
-            idle_s = self._limits.idle_timeout_us / SECOND_US
-            try:
-                async with asyncio.timeout(idle_s):
-                    self._buffer = await self._read_chunk()
-            except TimeoutError:
+            if not await self._chunks.wait(timeout_us / SECOND_US):
                 return False
+            self._buffer = await self._chunks.read()
         return True
 
+    async def discard(self) -> None:
+        """Discard all bytes until the caller closes, which is an error.
+
+        Raises StreamClosedError then.
+        """
+        while True:
+            await self._chunks.read()
+
     async def read(self, parser: h11.Connection) -> CallerRequest | None:
         """Return the request that has begun; None if the caller closed.
 
@@ -151,7 +160,7 @@
                     _check_head(event, self._limits)
                     return event
                 case h11.NEED_DATA:
-                    parser.receive_data(await self._read_chunk())
+                    parser.receive_data(await self._chunks.read())
                 case _:
                     return None
 
@@ -189,7 +198,7 @@
                     return
                 case h11.NEED_DATA:
                     await self._send_continue(parser)
-                    parser.receive_data(await self._read_chunk())
+                    parser.receive_data(await self._chunks.read())
                 case _:
                     raise RequestError(malformed_answer(HTTPStatus.BAD_REQUEST))
 
@@ -200,10 +209,6 @@
             )
             await self._stream.write(parser.send(continue_response) or b'')
 
-    async def _read_chunk(self) -> bytes:
-        chunk: bytes = await self._stream.read_bytes(READ_BYTES, partial=True)
-        return chunk
-
     def _request(self, head: h11.Request, received_us: int) -> CallerRequest:
         """Build a request whose body has not been read."""
         headers = list(head.headers.raw_items())
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -12,7 +12,7 @@
 import re
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
@@ -24,6 +24,7 @@
 from foxtailreach.core.dispatch.target_notices import NO_NOTICE, TargetNotice
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.chunk_reader import ChunkReader
 from foxtailreach.gateway.http_types import (
     CallerRequest,
     HeaderNames,
@@ -41,7 +42,6 @@
 DEFAULT_IDLE_LIMIT_US = 3 * SECOND_US
 # Non-repeatable requests are not sent on connections that were idle longer.
 AT_MOST_ONCE_IDLE_LIMIT_US = 6 * SECOND_US
-READ_BYTES = 65_536
 # All that a target may send for one request. A host with 200 MB of memory holds
 # the answers to all its requests in flight.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -81,8 +81,8 @@
     """A connection to a target, used by one request at a time."""
 
     __slots__ = (
+        '_chunks',
         '_exchanges',
-        '_reading',
         '_received_bytes',
         'idle_limit_us',
         'idle_since_us',
@@ -97,7 +97,7 @@
         self.idle_limit_us = DEFAULT_IDLE_LIMIT_US
         self.must_close = False
         self._exchanges = 0
-        self._reading: asyncio.Future[bytes] | None = None
+        self._chunks = ChunkReader(stream)
         self._received_bytes = 0
 
     @property
@@ -108,7 +108,7 @@
         """
         if self.must_close or self.stream.closed():
             return False
-        return self._reading is None or not self._reading.done()
+        return not self._chunks.has_ended
 
     def idle_us(self, now_us: int) -> int:
         """Return how long the connection has been idle, in microseconds."""
@@ -117,14 +117,13 @@
     def mark_idle(self, now_us: int) -> None:
         """Mark the connection idle; bytes that arrive now make it unusable."""
         self.idle_since_us = now_us
-        self._start_reading()
+        self._chunks.start()
 
     def close(self) -> None:
         """Close the connection, which cancels the request at the target."""
         self.must_close = True
         self.stream.close()
-        if self._reading is not None:
-            self._reading.cancel()
+        self._chunks.cancel()
 
     async def exchange(
         self,
@@ -208,32 +207,19 @@
         Raises _ConnectionLostError if the connection was reset, or if the
         target has sent too much.
         """
-        reading = self._start_reading()
         try:
-            chunk = await reading
+            chunk = await self._chunks.read()
         except StreamClosedError as error:
             if error.real_error is not None or self.stream.error is not None:
                 raise _ConnectionLostError(
                     f'connection reset: {error.real_error}'
                 ) from error
             return b''
-        finally:
-            self._reading = None
         self._received_bytes += len(chunk)
         if self._received_bytes > MAX_ANSWER_BYTES:
             raise _ConnectionLostError('answer exceeds the size limit')
         return chunk
 
-    def _start_reading(self) -> asyncio.Future[bytes]:
-        if self._reading is None:
-            self._reading = asyncio.ensure_future(
-                _as_coroutine(
-                    self.stream.read_bytes(READ_BYTES, partial=True),
-                ),
-            )
-            self._reading.add_done_callback(_ignore_result)
-        return self._reading
-
     def _check_reuse(
         self, parser: h11.Connection, response: h11.Response
     ) -> None:
@@ -529,10 +515,6 @@
     return parser, payload
 
 
-async def _as_coroutine(awaitable: Awaitable[bytes]) -> bytes:
-    return await awaitable
-
-
 def _ignore_result(future: asyncio.Future[Any]) -> None:
     """Mark an exception as retrieved; the reader of the stream handles it."""
     with suppress(asyncio.CancelledError):
--- a/foxtailreach/tests/gateway/frontend_tests.py
+++ b/foxtailreach/tests/gateway/frontend_tests.py
@@ -272,3 +272,67 @@
 
     asyncio.run(scenario())
     assert not budget.held_bytes
+
+
+@pytest.mark.parametrize(
+    ('work_s', 'pause_s', 'answers'),
+    [
+        # Longer than the idle timeout of 0.3 s, and than two of them.
+        ((0.45,), (), 1),
+        ((0.8,), (), 1),
+        # The caller pauses for less than the timeout after each answer.
+        ((0.45, 0, 0.45), (0.2, 0.2), 3),
+        ((0, 0, 0), (0.2, 0.2), 3),
+        # It is idle for longer after its first answer.
+        ((0.45, 0), (0.6,), 1),
+    ],
+)
+def test_idle_time_does_not_run_while_a_request_is_served(
+    work_s: tuple[float, ...], pause_s: tuple[float, ...], answers: int
+) -> None:
+    """Guards against cutting off requests longer than the timeout (review 2).
+
+    A caller is idle from its last answer on, not from its last request.
+    """
+    left_s = list(work_s)
+
+    async def work(request: CallerRequest) -> CallerAnswer:
+        await asyncio.sleep(left_s.pop(0))
+        return await echo(request)
+
+    async def scenario() -> int:
+        async with frontend(work) as (_, port):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            for index, _ in enumerate(work_s):
+                writer.write(HEAD + b'content-length: 2\r\n\r\nhi')
+                try:
+                    answer = await reader.readuntil(b'\r\n\r\nhi')
+                except (asyncio.IncompleteReadError, ConnectionError):
+                    return index
+                assert answer.startswith(b'HTTP/1.1 200')
+                await asyncio.sleep((*pause_s, 0)[index])
+            await asyncio.wait_for(reader.read(), 0.6)
+            return len(work_s)
+
+    assert asyncio.run(scenario()) == answers
+
+
+def test_request_that_arrives_while_another_is_served_for_long() -> None:
+    """The read that brings it was started before the idle timeout passed."""
+
+    async def work(request: CallerRequest) -> CallerAnswer:
+        await asyncio.sleep(0.8 if request.path == b'/a/' else 0)
+        return await echo(request)
+
+    async def scenario() -> bytes:
+        async with frontend(work) as (_, port):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(HEAD + b'content-length: 2\r\n\r\nhi')
+            await asyncio.sleep(0.5)
+            second = HEAD.replace(b'/a/', b'/b/')
+            writer.write(second + b'content-length: 2\r\n\r\nho')
+            return await asyncio.wait_for(reader.read(), 3)
+
+    answers = asyncio.run(scenario())
+    assert answers.count(b'HTTP/1.1 200') == 2
+    assert answers.index(b'hi') < answers.index(b'ho')
