Let hosts agree on which coordinators are alive

Cause: a process that starts takes all hosts in the store's list for alive, also those that have left, and nobody repeats the report of their end. It ranked a gone host as the second holder of the meter and copied its admissions there. All others ranked another host, which got no copies and took itself for informed.

Change: heartbeats carry a digest of what a host knows of the coordinators; hosts that differ exchange tables and merge them by incarnation and severity. A new process asks for a table at its start and meters nothing before, at most 1 s.

Why it works: merging is commutative and idempotent, so any two hosts in contact know the same after one exchange, whatever messages were lost and whoever started when. So no two of them rank different holders for longer than a heartbeat.

Three tests of fleet_tests.py charged hosts at the moment of their creation; they let the hosts exchange heartbeats first, their checks are as before. Hosts of this build do not work beside those of the last one.

--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -146,7 +146,10 @@
             now_us,
         )
         self._metering = Metering(
-            self.membership, self._reach, config.limit_policy
+            self.membership,
+            self._reach,
+            self._host_messages.introduction,
+            config.limit_policy,
         )
         # No host has brokered before; 0 if that is not known.
         self._brokered_since_us = 0
@@ -268,8 +271,9 @@
         now_us: int,
     ) -> Effects:
         """Add the hosts of the platform's list, and their processes."""
-        self._metering.has_host_list = True
-        return self._host_messages.register(registrations, now_us)
+        new_effects = self._host_messages.register(registrations, now_us)
+        new_effects.extend(self._host_messages.start_introduction(now_us))
+        return new_effects
 
     def coordinators_of_domain(self) -> list[str]:
         """List the other coordinators of this host's failure domain."""
--- a/foxtailreach/core/dispatch/host_messages.py
+++ b/foxtailreach/core/dispatch/host_messages.py
@@ -16,13 +16,20 @@
 from foxtailreach.core import messages as core_messages
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.coordinators import Coordinators
+from foxtailreach.core.dispatch.introduction import (
+    PINGED_HOSTS,
+    Introduction,
+)
 from foxtailreach.core.gossip import GossipSpreader
 from foxtailreach.core.membership import Membership
+from foxtailreach.core.units import MILLISECOND_US
 
 Effects = list[messages.SendHost | effects.Note]
 # Releases the slots of a lost host, at a time in microseconds.
 ReleaseSlots = Callable[[str, int], Iterable[messages.SendHost]]
 HeartbeatMessage = core_messages.Ping | core_messages.Ack
+# A host that knows otherwise gets a table at most once in this time.
+TABLE_INTERVAL_US = 400 * MILLISECOND_US
 
 
 class HostMessages:
@@ -33,7 +40,10 @@
         '_membership',
         '_own_entry',
         '_release_slots',
+        '_rng',
         '_spreader',
+        '_table_sent_us',
+        'introduction',
     )
 
     def __init__(
@@ -50,11 +60,16 @@
         self._coordinators = coordinators
         self._release_slots = release_slots
         self._spreader = GossipSpreader(membership, rng)
+        self._rng = rng
+        self._table_sent_us: dict[str, int] = {}
+        self.introduction = Introduction()
 
     def tick(self, now_us: int) -> Effects:
         """Send heartbeats, and report hosts that stay silent."""
         self._membership.watch_closely(self._coordinators.hosts)
-        return self._to_messages(self._membership.tick(now_us, 0))
+        new_effects = self._to_messages(self._membership.tick(now_us, 0))
+        new_effects.extend(self._ask_for_introduction(now_us))
+        return new_effects
 
     def leave(self) -> Effects:
         """Announce that this host leaves."""
@@ -83,8 +98,14 @@
                     registration.entry.host_id, registration.incarnation, now_us
                 ),
             )
+        self._membership.watch_closely(self._coordinators.hosts)
         return new_effects
 
+    def start_introduction(self, now_us: int) -> Effects:
+        """Ask others which of the listed hosts are alive."""
+        self.introduction.start(now_us)
+        return self._ask_for_introduction(now_us)
+
     def receive(
         self,
         sender: str,
@@ -102,6 +123,8 @@
                 return self._to_messages(new_effects)
             case core_messages.HostRumor():
                 return self._handle_host_rumor(message, now_us)
+            case messages.LivenessTable():
+                return self._handle_table(message, now_us)
             case messages.HostAnnounced():
                 return self._handle_announcement(message, now_us)
             case _:
@@ -127,10 +150,63 @@
         sent = self._to_messages(new_effects)
         if known and known < message.incarnation:
             sent.extend(self._release_slots(subject, now_us))
+        sent.extend(self._compare_views(sender, message.view_digest, now_us))
         return sent
 
+    def _compare_views(
+        self, sender: str, view_digest: int, now_us: int
+    ) -> Effects:
+        """Send a table to a host that knows otherwise of the coordinators.
+
+        It sends its own likewise, so that a report which one of them has missed
+        reaches it.
+        """
+        if not view_digest:
+            return []
+        if view_digest == self._membership.view_digest:
+            self.introduction.confirm()
+            return []
+        sent_us = self._table_sent_us.get(sender, -TABLE_INTERVAL_US)
+        if now_us - sent_us < TABLE_INTERVAL_US:
+            return []
+        self._table_sent_us[sender] = now_us
+        table = messages.LivenessTable(self._membership.watched_liveness())
+        return [messages.SendHost(sender, table)]
+
+    def _handle_table(
+        self, table: messages.LivenessTable, now_us: int
+    ) -> Effects:
+        new_effects: Effects = []
+        for entry in table.entries:
+            new_effects.extend(
+                self._handle_host_rumor(entry, now_us, is_relayed=False)
+            )
+        self.introduction.confirm()
+        return new_effects
+
+    def _ask_for_introduction(self, now_us: int) -> Effects:
+        """Ping some coordinators while this process has not been introduced."""
+        candidates = [
+            host_id
+            for host_id in self._membership.others()
+            if host_id in self._coordinators.hosts
+        ]
+        if not candidates:
+            return []
+        if not self.introduction.take_ping(now_us):
+            return []
+        count = min(PINGED_HOSTS, len(candidates))
+        return [
+            messages.SendHost(host_id, self._membership.create_ping(now_us))
+            for host_id in self._rng.sample(candidates, count)
+        ]
+
     def _handle_host_rumor(
-        self, gossip_update: core_messages.HostRumor, now_us: int
+        self,
+        gossip_update: core_messages.HostRumor,
+        now_us: int,
+        *,
+        is_relayed: bool = True,
     ) -> Effects:
         host_id = gossip_update.host_id
         known = self._incarnation(host_id)
@@ -138,9 +214,10 @@
         if gossip_effects is None:
             return []
         if host_id != self._own_entry.host_id:
-            gossip_effects.append(
-                effects.SpreadGossip(gossip_update, is_relayed=True),
-            )
+            if is_relayed:
+                gossip_effects.append(
+                    effects.SpreadGossip(gossip_update, is_relayed=True),
+                )
             liveness = gossip_update.liveness.value
             gossip_effects.append(effects.Note('host', host_id, liveness))
         new_effects = self._to_messages(gossip_effects)
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -252,6 +252,13 @@
     incarnation: int
 
 
+@dataclass(slots=True, frozen=True)
+class LivenessTable:
+    """What the sender knows of the hosts that watch each other closely."""
+
+    entries: tuple[HostRumor, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class HostUnknown:
     """Asks a host that is not known here to announce itself.
@@ -369,6 +376,7 @@
     | ChargeResult
     | ChargeCancel
     | MeterCopy
+    | LivenessTable
     | EvidenceDigest
     | HostAnnounced
     | HostUnknown
--- a/foxtailreach/core/dispatch/metering.py
+++ b/foxtailreach/core/dispatch/metering.py
@@ -12,6 +12,7 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import CustomerSpec
 from foxtailreach.core.dispatch.host_history import METER_HOSTS
+from foxtailreach.core.dispatch.introduction import Introduction
 from foxtailreach.core.dispatch.meter import Period
 from foxtailreach.core.dispatch.meters import (
     Absence,
@@ -48,20 +49,21 @@
     __slots__ = (
         '_copied_hosts',
         '_held_charges',
+        '_introduction',
         '_membership',
         '_meters',
         '_reach',
-        'has_host_list',
     )
 
     def __init__(
         self,
         membership: Membership,
         reach: Reach,
+        introduction: Introduction,
         policy: LimitPolicy,
     ) -> None:
-        """Create a host that meters nothing until it has a list of hosts."""
-        self.has_host_list = False
+        """Create a host that meters nothing until its introduction is over."""
+        self._introduction = introduction
         self._membership = membership
         self._reach = reach
         self._meters = CustomerMeters(policy)
@@ -103,7 +105,8 @@
         host_id = self._membership.host_id
         subject = _subject(request.customer)
         is_holder = self._reach.current.holds_meter(host_id, subject)
-        if customer is None or not is_holder or not self.has_host_list:
+        is_introduced = self._introduction.is_over(now_us)
+        if customer is None or not is_holder or not is_introduced:
             refusal = messages.ChargeResult(
                 request.ask_id,
                 messages.Admission.NOT_OWNER,
--- a/foxtailreach/core/membership.py
+++ b/foxtailreach/core/membership.py
@@ -13,6 +13,8 @@
 from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
+import xxhash
+
 from foxtailreach.core import effects, messages
 from foxtailreach.core.log_freshness import LogFreshness
 from foxtailreach.core.messages import HostEntry, HostRumor, Liveness
@@ -24,6 +26,7 @@
 MAX_TICK_GAP_US = SECOND_US
 # Hashed with a host's name to get its place on the ring.
 RING_SUBJECT = 'ring'
+_DIGEST_BITS = 63
 
 Effects = list[effects.Effect]
 
@@ -71,6 +74,8 @@
         '_round',
         '_sequence',
         '_timing',
+        '_view_digest',
+        '_view_key',
         '_watched',
         '_watched_neighbours',
         'host_id',
@@ -108,6 +113,8 @@
         self._log_offset = 0
         self._next_ping_us = now_us
         self._last_tick_us = now_us
+        self._view_key: tuple[int, int] | None = None
+        self._view_digest = 0
 
     def is_usable(self, host_id: str) -> bool:
         """Tell whether a host may own pools and get new work."""
@@ -152,8 +159,35 @@
         """Let these hosts watch each other, besides the ring of all hosts."""
         if hosts != self._watched:
             self._watched = hosts
+            self._view_key = None
             self._watched_neighbours = self._next_on_ring(hosts)
 
+    @property
+    def view_digest(self) -> int:
+        """Hash `watched_liveness` to a non-negative 63-bit integer.
+
+        It is 0 without hosts that are watched closely.
+        """
+        key = (self.version, self.incarnation)
+        if key != self._view_key:
+            self._view_key = key
+            self._view_digest = 0
+            for entry in self.watched_liveness():
+                text = f'{entry.host_id}/{entry.incarnation}/{entry.liveness}'
+                digest = xxhash.xxh64_intdigest(text.encode())
+                self._view_digest ^= int(digest) >> (64 - _DIGEST_BITS)
+        return self._view_digest
+
+    def watched_liveness(self) -> tuple[HostRumor, ...]:
+        """Return what is known of the hosts that are watched closely."""
+        return tuple(
+            HostRumor(host_id, state.incarnation, state.liveness)
+            if host_id != self.host_id
+            else self.announce()
+            for host_id, state in self.hosts.items()
+            if host_id in self._watched
+        )
+
     def announce(self) -> HostRumor:
         """Build the gossip update with this host's own liveness."""
         liveness = Liveness.LEAVING if self.is_leaving else Liveness.UP
@@ -174,6 +208,7 @@
             log_offset=self._log_offset,
             log_age_us=self._log_freshness.age_us(now_us),
             on_behalf_of=on_behalf_of,
+            view_digest=self.view_digest,
         )
 
     def apply_update(
@@ -205,6 +240,7 @@
             incarnation=self.incarnation,
             log_offset=self._log_offset,
             log_age_us=self._log_freshness.age_us(now_us),
+            view_digest=self.view_digest,
         )
         new_effects.append(effects.SendPeer(sender, ack))
         if ping.on_behalf_of:
--- a/foxtailreach/core/messages.py
+++ b/foxtailreach/core/messages.py
@@ -120,24 +120,33 @@
 
 @dataclass(slots=True, frozen=True)
 class Ping:
-    """Heartbeat with the position and age of the sender's copy of the log."""
+    """Heartbeat with the position and age of the sender's copy of the log.
+
+    `view_digest` hashes what the sender knows of the hosts that watch each
+    other closely; 0 if there are none.
+    """
 
     sequence: int
     incarnation: int
     log_offset: int
     log_age_us: int
     on_behalf_of: str = ''
+    view_digest: int = 0
 
 
 @dataclass(slots=True, frozen=True)
 class Ack:
-    """Answer to a ping; `subject` is the host that is alive."""
+    """Answer to a ping; `subject` is the host that is alive.
+
+    `view_digest` is that of the subject, see `Ping`.
+    """
 
     sequence: int
     subject: str
     incarnation: int
     log_offset: int
     log_age_us: int
+    view_digest: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -8,18 +8,20 @@
 
 struct Ping {
   1: i64 sequence, 2: i64 incarnation, 3: i64 log_offset, 4: i64 log_age_us,
-  5: string on_behalf_of
+  5: string on_behalf_of, 6: i64 view_digest
 }
 
 struct Ack {
   1: i64 sequence, 2: string subject, 3: i64 incarnation, 4: i64 log_offset,
-  5: i64 log_age_us
+  5: i64 log_age_us, 6: i64 view_digest
 }
 
 struct PingRequest { 1: string subject }
 
 struct HostRumor { 1: string host_id, 2: i64 incarnation, 3: string liveness }
 
+struct LivenessTable { 1: list<HostRumor> entries }
+
 struct SlotRequest {
   1: i64 ask_id, 2: string service_name, 3: string kind, 4: i32 priority,
   5: i64 time_left_us, 6: i64 objective_left_us, 7: bool is_repeat,
@@ -113,5 +115,6 @@
   17: optional StateCopy state_copy, 18: optional TurnedAway turned_away,
   20: optional ChargeCancel charge_cancel,
   21: optional MeterCopy meter_copy, 22: optional HostUnknown host_unknown,
-  23: optional SlotCheck slot_check
+  23: optional SlotCheck slot_check,
+  24: optional LivenessTable liveness_table
 }
--- a/foxtailreach/rpc/peer.thrift
+++ b/foxtailreach/rpc/peer.thrift
@@ -36,12 +36,12 @@
 
 struct Ping {
   1: i64 sequence, 2: i64 incarnation, 3: i64 log_offset, 4: i64 log_age_us,
-  5: string on_behalf_of
+  5: string on_behalf_of, 6: i64 view_digest
 }
 
 struct Ack {
   1: i64 sequence, 2: string subject, 3: i64 incarnation, 4: i64 log_offset,
-  5: i64 log_age_us
+  5: i64 log_age_us, 6: i64 view_digest
 }
 
 struct PingRequest { 1: string subject }
--- a/foxtailreach/tests/dispatch/fleet_limit_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_limit_tests.py
@@ -96,6 +96,31 @@
         replay.stalled_until_us = replay.now_us() + 1500 * MILLISECOND_US
 
 
+async def lose_the_meter_after_a_removal(replay: FleetReplay) -> None:
+    """Remove the second host, restart the first, and kill it later."""
+    await replay.remove(replay.meter_host(1))
+    await asyncio.sleep(4)
+    first = replay.meter_host()
+    await replay.restart(first)
+    await asyncio.sleep(8)
+    await replay.kill(first, 2.5)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_restarted_host_copies_its_meter_to_a_host_that_lives(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against meters copied to a host that has left (review 5).
+
+    The list of hosts names it still, and nobody reports its end again.
+    """
+    load = replace(SMALL, demand=5)
+    replay = replay_fleet(
+        load, seed, monkeypatch, lose_the_meter_after_a_removal
+    )
+    assert replay.most_arrivals_in_window() <= load.allowed_requests
+
+
 @pytest.mark.parametrize(
     ('load', 'script'),
     [
--- a/foxtailreach/tests/dispatch/fleet_replay.py
+++ b/foxtailreach/tests/dispatch/fleet_replay.py
@@ -598,6 +598,14 @@
         await asyncio.sleep(1)
         await self.kill(host_id, 1)
 
+    async def remove(self, host_id: str) -> None:
+        """Stop a host for good; it stays in the platform's list."""
+        removed = self.hosts[host_id]
+        removed.leave()
+        await asyncio.sleep(1)
+        self.hosts.pop(host_id)
+        removed.kill()
+
     async def pause(self, host_id: str, for_s: float) -> None:
         """Pause a host for `for_s`."""
         paused = self.hosts[host_id]
--- a/foxtailreach/tests/dispatch/fleet_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_tests.py
@@ -66,6 +66,30 @@
     assert fleet['h1'].broker_hosts('svc', later_us) == first
 
 
+def settle(fleet: dict[str, FleetNode]) -> int:
+    """Let the hosts exchange messages until they know of a whole window.
+
+    Return the time after it, in microseconds.
+    """
+    now_us = START_US
+    while now_us < START_US + LIMIT_POLICY.metered_us + SECOND_US:
+        now_us += SECOND_US // 10
+        sent = [
+            (host_id, effect)
+            for host_id, node in fleet.items()
+            for effect in node.tick(now_us)
+        ]
+        while sent:
+            sender, effect = sent.pop()
+            if isinstance(effect, messages.SendHost):
+                receiver = effect.host_id
+                answers = fleet[receiver].receive(
+                    sender, effect.message, now_us
+                )
+                sent.extend((receiver, answer) for answer in answers)
+    return now_us
+
+
 def copies(new_effects: Effects) -> list[tuple[str, messages.MeterCopy]]:
     """Return the copies of meters among effects, with their recipients."""
     return [
@@ -78,13 +102,14 @@
 
 def test_leaving_owner_hands_its_meter_to_the_next_owners() -> None:
     fleet = create_fleet(('d1', 'd1', 'd1'))
-    owner_id, *next_ids = fleet['h1'].meter_hosts('c', START_US)
+    settled_us = settle(fleet)
+    owner_id, *next_ids = fleet['h1'].meter_hosts('c', settled_us)
     owner = fleet[owner_id]
     for ask_id in range(5):
-        now_us = START_US + ask_id * SECOND_US // 5
+        now_us = settled_us + ask_id * SECOND_US // 5
         request = messages.ChargeRequest(ask_id, 'c')
         owner.receive(next_ids[0], request, now_us)
-    handed = copies(owner.leave(START_US + SECOND_US))
+    handed = copies(owner.leave(settled_us + SECOND_US))
     assert [host_id for host_id, _ in handed] == next_ids
     for _, message in handed:
         assert len(message.entries) == message.total == 5
@@ -92,13 +117,14 @@
 
 def test_owner_copies_each_admission_to_the_second_in_rank() -> None:
     fleet = create_fleet(('d1', 'd1', 'd1'))
-    owner_id, second_id, _ = fleet['h1'].meter_hosts('c', START_US)
+    settled_us = settle(fleet)
+    owner_id, second_id, _ = fleet['h1'].meter_hosts('c', settled_us)
     request = messages.ChargeRequest(1, 'c')
-    handed = copies(fleet[owner_id].receive('h1', request, START_US))
+    handed = copies(fleet[owner_id].receive('h1', request, settled_us))
     assert [host_id for host_id, _ in handed] == [second_id]
     cancel = messages.ChargeCancel(1, 'c')
     [(host_id, withdrawn)] = copies(
-        fleet[owner_id].receive('h1', cancel, START_US + 1)
+        fleet[owner_id].receive('h1', cancel, settled_us + 1)
     )
     assert host_id == second_id
     assert withdrawn.cancelled == (handed[0][1].entries[0].key,)
@@ -144,12 +170,13 @@
 def test_host_that_holds_no_meter_hands_nothing_over() -> None:
     """Hosts stop in turn; copies from former owners are out of date."""
     fleet = create_fleet(('d1', 'd1', 'd1', 'd1'))
+    settled_us = settle(fleet)
     first_id, second_id, third_id, fourth_id = fleet['h1'].meter_hosts(
-        'c', START_US
+        'c', settled_us
     )
     former = fleet[third_id]
-    former.tick(START_US)
-    late_us = START_US + SECOND_US // 5
+    former.tick(settled_us)
+    late_us = settled_us + SECOND_US // 5
     entry = messages.MeterEntry(1, 0, is_retry=False)
     copy = messages.MeterCopy('c', (entry,), (), 0, 0)
     former.receive(first_id, copy, late_us)
@@ -280,3 +307,47 @@
         effect.message,
         messages.EvidenceDigest,
     )
+
+
+def test_missed_report_reaches_a_host_with_a_heartbeat() -> None:
+    """Guards against hosts that take a lost one for alive for good (review 5).
+
+    One host has missed the report, or has started after it.
+    """
+    fleet = create_fleet(('d1', 'd1', 'd1', 'd1'))
+    settled_us = settle(fleet)
+    lost = core_messages.HostRumor('h4', 1, core_messages.Liveness.DOWN)
+    fleet['h1'].receive('h3', lost, settled_us)
+    assert fleet['h2'].membership.is_usable('h4')
+    (ping,) = {
+        effect.message
+        for effect in fleet['h1'].tick(settled_us + SECOND_US // 2)
+        if isinstance(effect, messages.SendHost)
+        and effect.host_id == 'h2'
+        and isinstance(effect.message, core_messages.Ping)
+    }
+    later_us = settled_us + SECOND_US // 2
+    for answer in fleet['h2'].receive('h1', ping, later_us):
+        assert isinstance(answer, messages.SendHost)
+        for table in fleet['h1'].receive('h2', answer.message, later_us):
+            assert isinstance(table, messages.SendHost)
+            fleet[table.host_id].receive('h1', table.message, later_us)
+    assert not fleet['h2'].membership.is_usable('h4')
+
+
+def test_host_meters_nothing_before_its_introduction() -> None:
+    """Its ranking of the listed hosts may differ from all others'."""
+    fleet = create_fleet(('d1', 'd1', 'd1'))
+    owner_id, second_id, _ = fleet['h1'].meter_hosts('c', START_US)
+    owner = fleet[owner_id]
+    request = messages.ChargeRequest(1, 'c')
+    result = messages.ChargeResult(1, messages.Admission.NOT_OWNER, 0)
+    assert owner.receive('h1', request, START_US) == [
+        messages.SendHost('h1', result)
+    ]
+    table = messages.LivenessTable(
+        (core_messages.HostRumor(second_id, 1, core_messages.Liveness.DOWN),)
+    )
+    owner.receive('h1', table, START_US + 1)
+    new_effects = owner.receive('h1', request, START_US + 2)
+    assert messages.SendHost('h1', result) not in new_effects
