Ask other holders before metering a window that this process does not know

Cause: the holders of a meter were known by the names of hosts. A process that is back before its host is taken for down has the same name and no memory: the other holder did not copy its meter to it, and it assumed an even use of the limit.

A holder copies its meters to a new process of the other one. Copies of a whole meter are marked, and also sent if it is empty. An answer claims nothing of a time in which hosts were out of reach.

Why it works: what a host knows belongs to its process from its first moment, so that no order of kills and starts can make it count from nothing while another host in its ranking knows better. Both ways, push and pull, are idempotent by key.

--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -392,6 +392,8 @@
                 return list(self._metering.cancel(sender, message, now_us))
             case messages.MeterCopy():
                 self._metering.merge(sender, message, now_us)
+            case messages.MeterRequest():
+                return list(self._metering.answer(sender, message, now_us))
             case messages.EvidenceDigest():
                 self._brokers.merge_remote_outcomes(message, now_us)
             case messages.TurnedAway():
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -217,7 +217,8 @@
 
     `cancelled` are the keys of withdrawn admissions. A copy of a whole meter
     has `total` entries, in one or more messages, and holds all admissions of
-    the last `known_us`; both are 0 if only changes are copied.
+    the last `known_us`. Both are 0, and `is_whole` false, if only changes are
+    copied.
     """
 
     customer: str
@@ -225,6 +226,17 @@
     cancelled: tuple[int, ...]
     known_us: int
     total: int
+    is_whole: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class MeterRequest:
+    """Asks for all admissions of a customer that the receiver knows.
+
+    It is answered by copies of the whole meter, also of an empty one.
+    """
+
+    customer: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -376,6 +388,7 @@
     | ChargeResult
     | ChargeCancel
     | MeterCopy
+    | MeterRequest
     | LivenessTable
     | EvidenceDigest
     | HostAnnounced
--- a/foxtailreach/core/dispatch/metering.py
+++ b/foxtailreach/core/dispatch/metering.py
@@ -12,8 +12,9 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import CustomerSpec
 from foxtailreach.core.dispatch.host_history import METER_HOSTS
+from foxtailreach.core.dispatch.inquiries import Inquiries
 from foxtailreach.core.dispatch.introduction import Introduction
-from foxtailreach.core.dispatch.meter import Period
+from foxtailreach.core.dispatch.meter import Period, Periods
 from foxtailreach.core.dispatch.meters import (
     Absence,
     CustomerMeters,
@@ -49,6 +50,8 @@
     __slots__ = (
         '_copied_hosts',
         '_held_charges',
+        '_incarnations',
+        '_inquiries',
         '_introduction',
         '_membership',
         '_meters',
@@ -69,6 +72,9 @@
         self._meters = CustomerMeters(policy)
         self._held_charges: list[HeldCharge] = []
         self._copied_hosts = reach.current
+        self._inquiries = Inquiries()
+        # The processes that were known at a version of the membership.
+        self._incarnations: tuple[int, dict[str, int]] = (-1, {})
 
     def top_hosts(self, customer: str, now_us: int) -> tuple[str, ...]:
         """Rank the hosts that may meter a customer, the holders first."""
@@ -96,8 +102,9 @@
     ) -> Effects:
         """Admit or refuse a request if this host holds the customer's meter.
 
-        `customer` is None if it is not configured here. A charge without
-        contact with most failure domains waits; see `take_decidable`.
+        `customer` is None if it is not configured here. A charge waits without
+        contact with most failure domains, and while other hosts are asked for
+        admissions that this one does not know; see `take_decidable`.
         """
         if now_us - self._reach.resumed_us < RESUME_US:
             return []
@@ -113,6 +120,10 @@
                 0,
             )
             return [messages.SendHost(sender, refusal)]
+        inquiries = self._ask_for_gap(customer, now_us)
+        if self._is_asking(customer.name, now_us):
+            self._held_charges.append(HeldCharge(sender, request, now_us))
+            return inquiries
         share = self._reach.contact.usable_share(now_us)
         new_effects: Effects = []
         if share:
@@ -121,7 +132,25 @@
             self._held_charges.append(HeldCharge(sender, request, now_us))
         if share < 1:
             new_effects.extend(self._ping_silent_domains(now_us))
-        return new_effects
+        return inquiries + new_effects
+
+    def answer(
+        self, sender: str, request: messages.MeterRequest, now_us: int
+    ) -> Effects:
+        """Send all that this host knows of a customer's admissions.
+
+        Of a time in which hosts were out of reach it knows only those of its
+        own side.
+        """
+        self._reach.update(now_us)
+        absent = self._meters.unreconciled(
+            request.customer, self._reach.history.absences(now_us)
+        )
+        unknown = self._unknown_periods(request.customer, now_us)
+        copies = self._meters.copy_meter(
+            request.customer, unknown + absent, now_us
+        )
+        return [messages.SendHost(sender, copy) for copy in copies]
 
     def cancel(
         self,
@@ -146,9 +175,11 @@
         """Merge admissions that another host copied to this one."""
         absences = self._reach.history.absences_of(sender, now_us)
         self._meters.merge(copy, now_us, absences)
+        if copy.is_whole:
+            self._inquiries.record_answer(copy.customer, sender)
 
     def take_decidable(self, now_us: int) -> list[HeldCharge]:
-        """Remove and return the charges that no longer wait for contact.
+        """Remove and return the charges that need not wait any longer.
 
         Those that waited too long are dropped.
         """
@@ -160,20 +191,32 @@
             if now_us - charge.received_us < HELD_CHARGE_US
         ]
         is_connected = self._reach.contact.usable_share(now_us) == 1
-        self._held_charges = [] if is_connected else held
-        return held if is_connected else []
+        decidable = [
+            charge
+            for charge in held
+            if is_connected
+            and not self._is_asking(charge.request.customer, now_us)
+        ]
+        self._held_charges = [
+            charge for charge in held if charge not in decidable
+        ]
+        return decidable
 
     def watch_membership(self, now_us: int) -> Effects:
         """Copy the meters of customers that another host now holds."""
         self._reach.update(now_us)
         before, self._copied_hosts = self._copied_hosts, self._reach.current
-        if before is self._copied_hosts:
+        restarted = self._take_restarted()
+        if before is self._copied_hosts and not restarted:
             return []
         new_effects: Effects = []
-        for customer in self._meters.customers(now_us):
+        customers = self._meters.customers(now_us)
+        self._inquiries.forget(customers)
+        for customer in customers:
             subject = _subject(customer)
             if before.holds_meter(self._membership.host_id, subject):
-                previous = before.top(subject)[:METER_HOSTS]
+                holders = before.top(subject)[:METER_HOSTS]
+                previous = frozenset(holders) - restarted
                 new_effects.extend(self._copy_meter(customer, previous, now_us))
         return new_effects
 
@@ -195,9 +238,8 @@
         now_us: int,
     ) -> Effects:
         """Decide a charge; with a share of the limit, only admit it."""
-        history = self._reach.history
-        unknown = history.unknown_periods(_subject(customer.name), now_us)
-        absences = history.absences(now_us)
+        unknown = self._unknown_periods(customer.name, now_us)
+        absences = self._reach.history.absences(now_us)
         if share < 1:
             absences = (Absence(Period(0, now_us), 1 - share),)
         view = FleetView(unknown, absences)
@@ -213,6 +255,47 @@
             new_effects.extend(self._copy_to_others(copy))
         return new_effects
 
+    def _ask_for_gap(self, customer: CustomerSpec, now_us: int) -> Effects:
+        """Ask the hosts that may know the admissions that this one does not."""
+        if not customer.rate_per_s:
+            return []
+        gap = self._gap(customer.name, now_us)
+        if not gap:
+            return []
+        ranked = self._reach.current.top(_subject(customer.name))
+        own_id = self._membership.host_id
+        others = [host_id for host_id in ranked if host_id != own_id]
+        return list(self._inquiries.ask(customer.name, gap, others, now_us))
+
+    def _is_asking(self, customer: str, now_us: int) -> bool:
+        """Whether an answer with unknown admissions may arrive in time."""
+        if not self._inquiries.is_waiting(customer, now_us):
+            return False
+        return bool(self._gap(customer, now_us))
+
+    def _gap(self, customer: str, now_us: int) -> Periods:
+        unknown = self._unknown_periods(customer, now_us)
+        return self._meters.gap(customer, unknown, now_us)
+
+    def _unknown_periods(self, customer: str, now_us: int) -> Periods:
+        return self._reach.history.unknown_periods(_subject(customer), now_us)
+
+    def _take_restarted(self) -> frozenset[str]:
+        """Return the hosts whose process has changed since the last call."""
+        version, known = self._incarnations
+        if version == self._membership.version:
+            return frozenset()
+        current = {
+            host_id: state.incarnation
+            for host_id, state in self._membership.hosts.items()
+        }
+        self._incarnations = (self._membership.version, current)
+        return frozenset(
+            host_id
+            for host_id, incarnation in current.items()
+            if 0 < known.get(host_id, 0) < incarnation
+        )
+
     def _ping_silent_domains(self, now_us: int) -> Effects:
         new_effects: Effects = []
         for host_id in self._reach.contact.hosts_to_ping(now_us):
@@ -240,9 +323,7 @@
         now_us: int,
     ) -> Effects:
         """Copy a meter to its holders that are not in `previous`."""
-        unknown = self._reach.history.unknown_periods(
-            _subject(customer), now_us
-        )
+        unknown = self._unknown_periods(customer, now_us)
         return [
             messages.SendHost(host_id, copy)
             for host_id in self._other_holders(customer)
--- a/foxtailreach/core/dispatch/meters.py
+++ b/foxtailreach/core/dispatch/meters.py
@@ -274,7 +274,10 @@
         unknown: Periods,
         now_us: int,
     ) -> Iterator[MeterCopy]:
-        """Build the copies that carry all admissions of a customer."""
+        """Build the copies that carry all admissions of a customer.
+
+        One copy is built if there are none.
+        """
         meter = self._meter(customer, now_us)
         entries = [
             _entry(key, admitted, now_us) for key, admitted in meter.entries()
@@ -288,15 +291,34 @@
             default=start_us,
         )
         known_since_us = max(start_us, known_since_us)
-        for start in range(0, len(entries), MAX_COPIED_ENTRIES):
+        for start in range(0, max(1, len(entries)), MAX_COPIED_ENTRIES):
             yield MeterCopy(
                 customer,
                 tuple(entries[start : start + MAX_COPIED_ENTRIES]),
                 (),
                 now_us - known_since_us,
                 len(entries),
+                is_whole=True,
             )
 
+    def unreconciled(
+        self, customer: str, absences: Iterable[Absence]
+    ) -> Periods:
+        """Return the absences whose admissions nobody has copied since."""
+        meter = self._meters.get(customer)
+        reconciled = () if meter is None else meter.reconciled
+        return subtract_periods(
+            (absence.period for absence in absences), reconciled
+        )
+
+    def gap(self, customer: str, unknown: Periods, now_us: int) -> Periods:
+        """Return the unknown periods of the window that nobody has copied."""
+        window = Period(now_us - self._policy.metered_us, now_us)
+        meter = self._meter(customer, now_us)
+        return subtract_periods(
+            (period.clip(window) for period in unknown), meter.covered
+        )
+
     def merge(
         self,
         copy: MeterCopy,
@@ -333,10 +355,7 @@
     ) -> Admission:
         budget = self._policy.budget(customer)
         window = Period(now_us - self._policy.metered_us, now_us)
-        unknown = subtract_periods(
-            (period.clip(window) for period in view.unknown),
-            meter.covered,
-        )
+        unknown = self.gap(customer.name, view.unknown, now_us)
         absent_share = self._absent_share(meter, view.absences, window)
         assumed = self._assumed(meter, customer, unknown, absent_share)
         total = len(meter) + assumed
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -64,9 +64,11 @@
 
 struct MeterCopy {
   1: string customer, 2: list<MeterEntry> entries, 3: list<i64> cancelled,
-  4: i64 known_us, 5: i64 total
+  4: i64 known_us, 5: i64 total, 6: bool is_whole
 }
 
+struct MeterRequest { 1: string customer }
+
 struct TargetEvidence {
   1: string target_id, 2: i64 served_age_us, 3: i64 failed_age_us
 }
@@ -116,5 +118,6 @@
   20: optional ChargeCancel charge_cancel,
   21: optional MeterCopy meter_copy, 22: optional HostUnknown host_unknown,
   23: optional SlotCheck slot_check,
-  24: optional LivenessTable liveness_table
+  24: optional LivenessTable liveness_table,
+  25: optional MeterRequest meter_request
 }
--- a/foxtailreach/tests/dispatch/fleet_limit_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_limit_tests.py
@@ -26,6 +26,9 @@
 LARGE = FleetLoad(hosts=110, targets=60)
 LARGE_CUSTOMER = replace(SMALL, rate_per_s=60, burst_requests=60, slots=9)
 
+# Shorter than the time in which a lost host is noticed.
+QUICK_RESTART_S = 0.3
+
 
 async def pause_meter_hosts(replay: FleetReplay) -> None:
     """Pause the first host in rank, then the second, for 0.4 s each."""
@@ -96,6 +99,51 @@
         replay.stalled_until_us = replay.now_us() + 1500 * MILLISECOND_US
 
 
+async def kill_first_host_for_a_moment(replay: FleetReplay) -> None:
+    """Kill the host that meters a customer which just sent its burst.
+
+    Its next process starts before anyone has noticed.
+    """
+    await asyncio.sleep(1.5)
+    await replay.kill(replay.meter_host(), QUICK_RESTART_S)
+
+
+async def kill_second_host_for_a_moment(replay: FleetReplay) -> None:
+    """Kill the host that holds the copy, then the one that meters."""
+    await asyncio.sleep(0.4)
+    await replay.kill(replay.meter_host(1), QUICK_RESTART_S)
+    await asyncio.sleep(1)
+    await replay.kill(replay.meter_host(), 2.5)
+
+
+async def kill_first_hosts_in_turn_for_a_moment(replay: FleetReplay) -> None:
+    """Restart both hosts that hold the meter, one a second after the other."""
+    for turn in range(8):
+        await asyncio.sleep(1)
+        await replay.kill(replay.meter_host(turn % 2), QUICK_RESTART_S)
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize(
+    'script',
+    [
+        kill_first_host_for_a_moment,
+        kill_second_host_for_a_moment,
+        kill_first_hosts_in_turn_for_a_moment,
+    ],
+)
+def test_process_that_is_back_unnoticed_learns_of_the_window(
+    script: Script, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a limit admitted twice after a quick restart (review 3).
+
+    The host ranks as before, but its process knows no admissions.
+    """
+    load = replace(SMALL, demand=5, seconds=16)
+    replay = replay_fleet(load, seed, monkeypatch, script)
+    assert replay.most_arrivals_in_window() <= load.allowed_requests
+
+
 async def lose_the_meter_after_a_removal(replay: FleetReplay) -> None:
     """Remove the second host, restart the first, and kill it later."""
     await replay.remove(replay.meter_host(1))
