Decide a held charge by the time its asker repeats it

Change: answers are awaited for 50 ms, so that the repeated charge after 60 ms is decided. A charge that waits for answers needs no more contact than any other. An introduction takes 0.4 s at most, and none is needed by a host that is alone. router_tests.py charged a host at the moment of its creation; its hosts exchange heartbeats first now, and its check is as before.

--- a/foxtailreach/core/dispatch/host_messages.py
+++ b/foxtailreach/core/dispatch/host_messages.py
@@ -104,6 +104,8 @@
     def start_introduction(self, now_us: int) -> Effects:
         """Ask others which of the listed hosts are alive."""
         self.introduction.start(now_us)
+        if len(self._membership.hosts) == 1:
+            self.introduction.confirm()
         return self._ask_for_introduction(now_us)
 
     def receive(
--- a/foxtailreach/core/dispatch/inquiries.py
+++ b/foxtailreach/core/dispatch/inquiries.py
@@ -14,8 +14,8 @@
 from foxtailreach.core.dispatch.meter import Periods
 from foxtailreach.core.units import MILLISECOND_US
 
-# A charge waits this long for answers; its asker waits for 140 ms.
-ANSWER_WAIT_US = 80 * MILLISECOND_US
+# A charge waits this long for answers. Its asker sends it again after 60 ms.
+ANSWER_WAIT_US = 50 * MILLISECOND_US
 REPEAT_INTERVAL_US = 500 * MILLISECOND_US
 
 
--- a/foxtailreach/core/dispatch/introduction.py
+++ b/foxtailreach/core/dispatch/introduction.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+from foxtailreach.core.units import MILLISECOND_US
 
 # The other hosts are lost, or start at the same time and know as little.
-INTRODUCTION_TIMEOUT_US = SECOND_US
+INTRODUCTION_TIMEOUT_US = 400 * MILLISECOND_US
 PING_INTERVAL_US = 100 * MILLISECOND_US
 PINGED_HOSTS = 3
 
--- a/foxtailreach/core/dispatch/metering.py
+++ b/foxtailreach/core/dispatch/metering.py
@@ -37,11 +37,15 @@
 
 @dataclass(slots=True, frozen=True)
 class HeldCharge:
-    """A charge that waits for contact with the other failure domains."""
+    """A charge that waits for contact with the other failure domains.
+
+    With `is_for_answers` it waits for the answers to an inquiry instead.
+    """
 
     sender: str
     request: messages.ChargeRequest
     received_us: int
+    is_for_answers: bool = False
 
 
 class Metering:
@@ -122,7 +126,8 @@
             return [messages.SendHost(sender, refusal)]
         inquiries = self._ask_for_gap(customer, now_us)
         if self._is_asking(customer.name, now_us):
-            self._held_charges.append(HeldCharge(sender, request, now_us))
+            held = HeldCharge(sender, request, now_us, is_for_answers=True)
+            self._held_charges.append(held)
             return inquiries
         share = self._reach.contact.usable_share(now_us)
         new_effects: Effects = []
@@ -185,21 +190,17 @@
         """
         if not self._held_charges:
             return []
-        held = [
-            charge
-            for charge in self._held_charges
-            if now_us - charge.received_us < HELD_CHARGE_US
-        ]
         is_connected = self._reach.contact.usable_share(now_us) == 1
-        decidable = [
-            charge
-            for charge in held
-            if is_connected
-            and not self._is_asking(charge.request.customer, now_us)
-        ]
-        self._held_charges = [
-            charge for charge in held if charge not in decidable
-        ]
+        decidable: list[HeldCharge] = []
+        held: list[HeldCharge] = []
+        for charge in self._held_charges:
+            if now_us - charge.received_us >= HELD_CHARGE_US:
+                continue
+            is_due = is_connected or charge.is_for_answers
+            is_asking = self._is_asking(charge.request.customer, now_us)
+            waits = is_asking or not is_due
+            (held if waits else decidable).append(charge)
+        self._held_charges = held
         return decidable
 
     def watch_membership(self, now_us: int) -> Effects:
--- a/foxtailreach/tests/gateway/router_tests.py
+++ b/foxtailreach/tests/gateway/router_tests.py
@@ -8,8 +8,7 @@
 from foxtailreach.core.dispatch.fleet import FleetNode
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.gateway import router
-from foxtailreach.tests.dispatch.fixtures import START_US
-from foxtailreach.tests.dispatch.fleet_tests import create_fleet
+from foxtailreach.tests.dispatch.fleet_tests import create_fleet, settle
 
 REPLIES = (
     messages.ChargeResult(7, messages.Admission.REFUSED, 0),
@@ -18,11 +17,19 @@
 )
 
 
-def create_holder() -> tuple[FleetNode, str]:
-    """Create a holder of the meter, and return a host of another domain."""
+def create_holder() -> tuple[FleetNode, str, int]:
+    """Create a holder of the meter that has heard from nobody for a while.
+
+    Return a host of another domain as well, and the time in microseconds.
+    """
     fleet = create_fleet(('d1', 'd2', 'd3'))
-    holder_id, other_id, _ = fleet['h1'].meter_hosts('c', START_US)
-    return fleet[holder_id], other_id
+    now_us = settle(fleet)
+    holder_id, other_id, _ = fleet['h1'].meter_hosts('c', now_us)
+    holder = fleet[holder_id]
+    for _ in range(4):
+        now_us += SECOND_US // 10
+        holder.tick(now_us)
+    return holder, other_id, now_us
 
 
 @pytest.mark.parametrize('reply', REPLIES)
@@ -31,9 +38,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A charge waits for contact, which the reply of a host restores."""
-    now_us = START_US + SECOND_US // 5
+    node, other_id, now_us = create_holder()
     monkeypatch.setattr(router, 'boot_time_us', lambda: now_us)
-    node, other_id = create_holder()
     sent: list[messages.FleetMessage] = []
     message_router = router.MessageRouter(
         node, lambda host_id, message: sent.append(message)
