Bound the memory and the parsing of answers over all requests of a host

Report of another operator: a machine kept the endless answers of a faulty back end and ran out of memory, with the requests of other clients.

Cause: it can happen here. MAX_ANSWER_BYTES (8 MB) bounds one answer, and nothing bounded all of them, nor the parts of an answer: 8 MB of tiny chunks are over a million parts, parsed in one turn of the event loop for each read.

Change: one memory for the answers of all requests, a quarter of the host's, taken as an answer grows and returned whatever way its request ends. When it is used up, the target or waiting caller that holds the most loses its largest answer. The parts of an answer are bounded by its bytes and reads, and other tasks run after eight of them. A large body is sent without further copies.

--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -24,7 +24,7 @@
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.daemon.clock import boot_time_us, wall_ms
-from foxtailreach.gateway import logs
+from foxtailreach.gateway import answer_memory, logs
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -105,8 +105,13 @@
             rng,
         )
         self._bodies = BodyBudget(settings.max_body_memory_bytes)
+        self._answers = answer_memory.AnswerMemory(
+            settings.max_answer_memory_bytes
+        )
         self._frontend = Frontend(
-            ReaderOptions(options.header_names, self._limits, self._bodies),
+            ReaderOptions(
+                options.header_names, self._limits, self._bodies, self._answers
+            ),
             self._proxy.handle,
         )
         self._feed = options.create_feed(
@@ -252,6 +257,8 @@
             'hosts_usable': len(self._node.membership.usable_hosts()),
             'hosts_known': len(self._node.membership.hosts),
             'body_memory_bytes': self._bodies.held_bytes,
+            'answer_memory_bytes': self._answers.held_bytes,
+            'answers_evicted': self._answers.evicted,
             'connections_opened': self._upstream.opened,
             'connections_reused': self._upstream.reused,
             'datagrams_sent': self._peers.sent,
--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -13,6 +13,7 @@
 
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.answer_memory import HeldAnswer
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
@@ -29,6 +30,8 @@
 MAX_PIPELINED_REQUESTS = 16
 # Read buffer of a connection, which bounds the memory for a body.
 MAX_BUFFER_BYTES = 80 * 1024 * 1024
+# Smaller answers are written at once, in one packet if they fit.
+MAX_JOINED_BYTES = 16_384
 MIN_IDLE_WAIT_US = 10 * MILLISECOND_US
 
 Handle = Callable[[CallerRequest], Awaitable[CallerAnswer]]
@@ -80,6 +83,7 @@
     __slots__ = (
         '_frontend',
         '_handle',
+        '_held_answers',
         '_idle_since_us',
         '_is_closing',
         '_options',
@@ -104,6 +108,8 @@
         self._frontend = frontend
         self._reader = RequestReader(stream, options)
         self._running: set[asyncio.Task[CallerAnswer]] = set()
+        # Memory of the answers that were not sent.
+        self._held_answers: set[HeldAnswer] = set()
         self._is_closing = False
         # The last answer, or the start of the connection.
         self._idle_since_us = boot_time_us()
@@ -132,6 +138,8 @@
         """Cancel the requests in flight and close the connection."""
         for task in self._running:
             task.cancel()
+        for held_answer in self._held_answers:
+            held_answer.close()
         self._stream.close()
 
     async def _read_requests(
@@ -157,6 +165,7 @@
             if request is None:
                 return
             self.unanswered += 1
+            self._held_answers.add(request.held_answer)
             task = asyncio.ensure_future(self._run(request))
             self._running.add(task)
             task.add_done_callback(self._running.discard)
@@ -216,9 +225,12 @@
 
     async def _run(self, request: CallerRequest) -> CallerAnswer:
         try:
-            return await self._handle(request)
+            answer = await self._handle(request)
         finally:
             self._reader.release(request)
+        # From here on it waits for its caller.
+        request.held_answer.assign(id(self), self._stream.close)
+        return answer
 
     async def _write_answers(
         self,
@@ -235,26 +247,41 @@
             if must_close:
                 self._is_closing = True
             try:
-                payload = self._encode(parser, pending, answer, must_close)
+                parts = self._encode(parser, pending, answer, must_close)
             except h11.LocalProtocolError as error:
                 logger.error('answer cannot be sent: {}', error)
                 self._stream.close()
                 return
             with suppress(StreamClosedError):
-                await self._stream.write(payload)
+                await self._write_parts(parts)
+            self._release_answer(pending)
             self.unanswered -= 1
             self._idle_since_us = boot_time_us()
             if must_close or parser.our_state is h11.MUST_CLOSE:
                 self._stream.close()
                 return
 
+    async def _write_parts(self, parts: list[bytes]) -> None:
+        """Write an answer; a large body is not copied."""
+        if sum(map(len, parts)) <= MAX_JOINED_BYTES:
+            parts = [b''.join(parts)]
+        for part in parts:
+            await self._stream.write(part)
+
+    def _release_answer(self, pending: _PendingAnswer) -> None:
+        """Return the memory of an answer that was sent."""
+        if pending.request is not None:
+            self._held_answers.discard(pending.request.held_answer)
+            pending.request.held_answer.close()
+
     def _encode(
         self,
         parser: h11.Connection,
         pending: _PendingAnswer,
         answer: CallerAnswer,
         must_close: bool,
-    ) -> bytes:
+    ) -> list[bytes]:
+        """Return the head, and the body if there is one."""
         headers = forwarded_headers(answer.headers, frozenset())
         if pending.request is not None and pending.request.request_id:
             name = self._options.header_names.request_id
@@ -270,10 +297,11 @@
             headers=headers,
             reason=answer.phrase,
         )
-        payload = parser.send(response) or b''
+        parts = [parser.send(response) or b'']
         if answer.body and not pending.is_head:
-            payload += parser.send(h11.Data(data=answer.body)) or b''
-        return payload + (parser.send(h11.EndOfMessage()) or b'')
+            parts.append(parser.send(h11.Data(data=answer.body)) or b'')
+        parts.append(parser.send(h11.EndOfMessage()) or b'')
+        return [part for part in parts if part]
 
 
 class _PendingAnswer:
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -10,6 +10,7 @@
 from foxtailreach.core.dispatch.messages import SendOutcome
 from foxtailreach.core.dispatch.target_notices import NO_NOTICE, TargetNotice
 from foxtailreach.core.verdict import Reason, Verdict
+from foxtailreach.gateway.answer_memory import HeldAnswer, unlimited_answer
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -65,6 +66,7 @@
     request_id: str
     time_left_us: int
     key: str
+    held_answer: HeldAnswer = field(default_factory=unlimited_answer)
 
     @property
     def host(self) -> str:
--- a/foxtailreach/gateway/request_reader.py
+++ b/foxtailreach/gateway/request_reader.py
@@ -19,6 +19,7 @@
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.answer_memory import AnswerMemory
 from foxtailreach.gateway.chunk_reader import ChunkReader
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -80,6 +81,7 @@
     header_names: HeaderNames
     limits: GetLimits
     bodies: BodyBudget
+    answers: AnswerMemory
 
 
 class RequestReader:
@@ -231,6 +233,7 @@
             key=_parse_key(
                 find_header(headers, b'authorization'), header_names.key_scheme
             ),
+            held_answer=self._options.answers.open(),
         )
 
 
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -41,7 +41,8 @@
     `is_first_start` tells that the whole fleet starts for the first time.
     Targets write a heartbeat every `target_heartbeat_us`.
     `capacity` is the processor time of the host in hundredths of a core;
-    `max_body_memory_bytes` bounds the memory for the bodies of all requests.
+    `max_body_memory_bytes` bounds the memory for the bodies of all requests,
+    `max_answer_memory_bytes` that for the answers to all of them.
     """
 
     host_id: str
@@ -57,6 +58,7 @@
     seeds: tuple[Address, ...]
     stop_grace_us: int
     max_body_memory_bytes: int
+    max_answer_memory_bytes: int
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
     target_heartbeat_us: int = 1500 * MILLISECOND_US
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -24,6 +24,7 @@
 from foxtailreach.core.dispatch.target_notices import NO_NOTICE, TargetNotice
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.answer_memory import HeldAnswer
 from foxtailreach.gateway.chunk_reader import ChunkReader
 from foxtailreach.gateway.http_types import (
     CallerRequest,
@@ -42,9 +43,17 @@
 DEFAULT_IDLE_LIMIT_US = 3 * SECOND_US
 # Non-repeatable requests are not sent on connections that were idle longer.
 AT_MOST_ONCE_IDLE_LIMIT_US = 6 * SECOND_US
-# All that a target may send for one request. A host with 200 MB of memory holds
-# the answers to all its requests in flight.
+# All that a target may send for one request. `AnswerMemory` bounds the answers
+# to all requests.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Parts of an answer: its head and its chunks. Many tiny ones in one read would
+# use up the time of the event loop; those of a slow answer come one by one.
+FREE_ANSWER_PARTS = 200
+FREE_PARTS_PER_READ = 8
+MIN_BYTES_PER_PART = 32
+MAX_ANSWER_PARTS = 20_000
+# Other tasks run after so many parts, which takes less than 1 ms.
+PARTS_PER_TURN = 8
 MAX_INTERIM_ANSWERS = 16
 # Answers to earlier requests are skipped; after this many answers without
 # the right one the connection is closed.
@@ -53,6 +62,7 @@
 _MISDIRECTED = 421
 _SERVER_ERROR = 500
 # More digits would be years.
+_OUT_OF_MEMORY = 'answer was given up, as the memory is used up'
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
 # Tells why a granted target must get no request now; '' if it may.
@@ -83,6 +93,9 @@
     __slots__ = (
         '_chunks',
         '_exchanges',
+        '_held_answer',
+        '_parts',
+        '_reads',
         '_received_bytes',
         'idle_limit_us',
         'idle_since_us',
@@ -99,6 +112,9 @@
         self._exchanges = 0
         self._chunks = ChunkReader(stream)
         self._received_bytes = 0
+        self._parts = 0
+        self._reads = 0
+        self._held_answer: HeldAnswer | None = None
 
     @property
     def is_usable(self) -> bool:
@@ -131,8 +147,9 @@
         body: bytes,
         id_header: bytes,
         request_id: bytes,
+        held_answer: HeldAnswer,
     ) -> tuple[h11.Response, bytes]:
-        """Send one request and read its answer.
+        """Send one request and read its answer, within `held_answer`.
 
         Answers that echo the id of another request are skipped, and so are
         those that echo none if they may belong to another one. Raises
@@ -140,6 +157,9 @@
         `MAX_ANSWER_BYTES`.
         """
         self._received_bytes = 0
+        self._parts = 0
+        self._reads = 0
+        self._held_answer = held_answer
         is_first = not self._exchanges
         self._exchanges += 1
         parser, payload = _serialize(request, body)
@@ -167,14 +187,14 @@
         parser: h11.Connection,
     ) -> tuple[h11.Response, bytes]:
         response = await self._read_head(parser)
-        chunks: list[bytes] = []
+        body = bytearray()
         while True:
             event = await self._read_event(parser)
             match event:
                 case h11.Data(data=chunk):
-                    chunks.append(bytes(chunk))
+                    body += chunk
                 case h11.EndOfMessage():
-                    return response, b''.join(chunks)
+                    return response, bytes(body)
                 case _:
                     raise _ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
@@ -198,9 +218,20 @@
         while True:
             event: object = parser.next_event()
             if event is not h11.NEED_DATA:
+                await self._count_part()
                 return event
             parser.receive_data(await self._read_chunk())
 
+    async def _count_part(self) -> None:
+        """Let other tasks run at times; raise an error on too many parts."""
+        self._parts += 1
+        free_parts = FREE_ANSWER_PARTS + FREE_PARTS_PER_READ * self._reads
+        by_size = self._received_bytes // MIN_BYTES_PER_PART
+        if self._parts > min(MAX_ANSWER_PARTS, free_parts + by_size):
+            raise _ConnectionLostError('answer comes in too many parts')
+        if self._parts % PARTS_PER_TURN == 0:
+            await asyncio.sleep(0)
+
     async def _read_chunk(self) -> bytes:
         """Return the next bytes; b'' at a clean end of the stream.
 
@@ -210,16 +241,26 @@
         try:
             chunk = await self._chunks.read()
         except StreamClosedError as error:
-            if error.real_error is not None or self.stream.error is not None:
-                raise _ConnectionLostError(
-                    f'connection reset: {error.real_error}'
-                ) from error
+            self._check_end(error)
             return b''
+        self._reads += 1
         self._received_bytes += len(chunk)
         if self._received_bytes > MAX_ANSWER_BYTES:
             raise _ConnectionLostError('answer exceeds the size limit')
+        held_answer = self._held_answer
+        if held_answer is not None and not held_answer.grow(len(chunk)):
+            raise _ConnectionLostError(_OUT_OF_MEMORY)
         return chunk
 
+    def _check_end(self, error: StreamClosedError) -> None:
+        """Raise _ConnectionLostError unless the target has ended the stream."""
+        if self._held_answer is not None and self._held_answer.is_evicted:
+            raise _ConnectionLostError(_OUT_OF_MEMORY) from error
+        if error.real_error is not None or self.stream.error is not None:
+            raise _ConnectionLostError(
+                f'connection reset: {error.real_error}'
+            ) from error
+
     def _check_reuse(
         self, parser: h11.Connection, response: h11.Response
     ) -> None:
@@ -333,6 +374,11 @@
     ) -> TargetAnswer:
         left_us = max(MILLISECOND_US, deadline_us - boot_time_us())
         is_complete = False
+        held_answer = request.held_answer
+        before_bytes = held_answer.size_bytes
+        kept_bytes = 0
+        owner = (grant.target_id, grant.started_ms)
+        held_answer.assign(owner, connection.stream.close)
         try:
             async with asyncio.timeout(left_us / SECOND_US):
                 response, body = await connection.exchange(
@@ -340,8 +386,10 @@
                     request.body,
                     self._header_names.request_id,
                     request.request_id.encode('latin-1'),
+                    held_answer,
                 )
                 is_complete = True
+                kept_bytes = len(body)
         except TimeoutError:
             return TargetAnswer(SendOutcome.TIMED_OUT)
         except (
@@ -352,6 +400,7 @@
             cause = str(error) or type(error).__name__
             return TargetAnswer(SendOutcome.LOST, cause=cause)
         finally:
+            held_answer.end_receipt(before_bytes + kept_bytes)
             if not is_complete:
                 connection.close()
         return self._to_answer(response, body)
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -24,6 +24,7 @@
 DEFAULT_HEARTBEAT_MS = 1500
 # The process itself takes 40 MB of 200; answers in flight share the rest.
 BODY_MEMORY_SHARE = 0.4
+ANSWER_MEMORY_SHARE = 0.25
 CAPACITY_PER_CORE = 100
 BYTES_PER_MB = 1024 * 1024
 MAX_PORT_DIGITS = 5
@@ -75,6 +76,7 @@
     bounds = _bounds(table.get('bounds', ()))
     ports = table['internal_ports']
     limits = table.get('limits', {})
+    memory_bytes = limits.get('memory_mb', DEFAULT_MEMORY_MB) * BYTES_PER_MB
     return GatewaySettings(
         host_id=table['node_name'],
         domain=table['zone'],
@@ -88,11 +90,8 @@
         store=parse_address(table['platform']['address']),
         seeds=tuple(map(parse_address, table.get('seeds', ()))),
         stop_grace_us=int(bounds.get('grace_s', 6) * SECOND_US),
-        max_body_memory_bytes=int(
-            limits.get('memory_mb', DEFAULT_MEMORY_MB)
-            * BODY_MEMORY_SHARE
-            * BYTES_PER_MB
-        ),
+        max_body_memory_bytes=int(memory_bytes * BODY_MEMORY_SHARE),
+        max_answer_memory_bytes=int(memory_bytes * ANSWER_MEMORY_SHARE),
         retry_policy=RetryPolicy(
             ratio=bounds.get('retry_budget_ratio', 0.2) * BROKER_RATIO_SHARE,
             window_us=int(bounds.get('retry_window_s', 10) * SECOND_US),
--- a/foxtailreach/tests/gateway/endless_answer_tests.py
+++ b/foxtailreach/tests/gateway/endless_answer_tests.py
@@ -38,6 +38,10 @@
     ),
     'body without length': (HEAD + b'\r\n', FILLING),
     'chunks': (HEAD + b'transfer-encoding: chunked\r\n\r\n', CHUNK),
+    'chunks of one byte': (
+        HEAD + b'transfer-encoding: chunked\r\n\r\n',
+        b'1\r\nx\r\n' * 10_000,
+    ),
     'chunk size': (HEAD + b'transfer-encoding: chunked\r\n\r\n', b'0' * 60_000),
     'trailers': (
         HEAD + b'transfer-encoding: chunked\r\n\r\n0\r\n',
@@ -96,6 +100,38 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ('chunk_bytes', 'chunks', 'pause_s'),
+    [(1, 150, 0), (1, 1200, 0.001), (40, 10_000, 0), (4000, 1000, 0)],
+)
+def test_answer_in_many_chunks_is_read_whole(
+    chunk_bytes: int, chunks: int, pause_s: float
+) -> None:
+    """Targets may send what they have, also a word at a time."""
+    chunk = b'%x\r\n%s\r\n' % (chunk_bytes, b'x' * chunk_bytes)
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(HEAD + b'transfer-encoding: chunked\r\n\r\n')
+        for _ in range(chunks):
+            writer.write(chunk)
+            await writer.drain()
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        writer.write(b'0\r\n\r\n')
+
+    async def main() -> None:
+        upstream = Upstream(HEADER_NAMES, lambda *_: '')
+        async with target(answer) as (grant, _):
+            result = await send(upstream, grant, request(), time_left_s=20)
+        assert result.outcome is SendOutcome.SERVED
+        assert len(result.body) == chunk_bytes * chunks
+
+    asyncio.run(main())
+
+
 def test_endless_bytes_after_an_answer_close_the_connection() -> None:
     async def main() -> None:
         endless = EndlessTarget(OK, FILLING)
--- a/foxtailreach/tests/gateway/frontend_tests.py
+++ b/foxtailreach/tests/gateway/frontend_tests.py
@@ -11,6 +11,7 @@
 
 from foxtailreach.core.dispatch.deployment import CallerLimits
 from foxtailreach.core.verdict import Reason, Verdict
+from foxtailreach.gateway.answer_memory import AnswerMemory
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -39,7 +40,10 @@
     bodies: BodyBudget | None = None,
 ) -> AsyncIterator[tuple[Frontend, int]]:
     options = ReaderOptions(
-        HEADER_NAMES, lambda: LIMITS, bodies or BodyBudget(100_000)
+        HEADER_NAMES,
+        lambda: LIMITS,
+        bodies or BodyBudget(100_000),
+        AnswerMemory(100_000),
     )
     server = Frontend(options, handle)
     sock, port = bind_unused_port()
--- a/foxtailreach/tests/platform/feed_tests.py
+++ b/foxtailreach/tests/platform/feed_tests.py
@@ -37,6 +37,7 @@
         store=unused_address,
         seeds=(),
         max_body_memory_bytes=2**20,
+        max_answer_memory_bytes=2**20,
         stop_grace_us=0,
         retry_policy=RETRY_POLICY,
         limit_policy=LIMIT_POLICY,
