Close connections whose callers do not read their answers

Cause: since the idle time runs from the last answer, a caller that sends a request and never reads kept its connection, and the memory of its answers, for good; before, the idle timeout closed it.

Change: an answer is written in pieces of 64 kB, and each has to be taken within the idle timeout. A caller that reads slowly but steadily is not affected.

--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -32,6 +32,7 @@
 MAX_BUFFER_BYTES = 80 * 1024 * 1024
 # Smaller answers are written at once, in one packet if they fit.
 MAX_JOINED_BYTES = 16_384
+WRITE_BYTES = 65_536
 MIN_IDLE_WAIT_US = 10 * MILLISECOND_US
 
 Handle = Callable[[CallerRequest], Awaitable[CallerAnswer]]
@@ -262,11 +263,26 @@
                 return
 
     async def _write_parts(self, parts: list[bytes]) -> None:
-        """Write an answer; a large body is not copied."""
+        """Write an answer; a large body is not copied.
+
+        Close the connection if the caller reads nothing for its idle time.
+        """
         if sum(map(len, parts)) <= MAX_JOINED_BYTES:
             parts = [b''.join(parts)]
-        for part in parts:
-            await self._stream.write(part)
+        idle_s = self._options.limits().idle_timeout_us / SECOND_US
+        try:
+            for part in parts:
+                await self._write_in_time(part, idle_s)
+        except TimeoutError:
+            logger.info('a caller does not read its answer')
+            self._stream.close()
+
+    async def _write_in_time(self, part: bytes, idle_s: float) -> None:
+        """Write a part; raise TimeoutError if a piece is not taken in time."""
+        view = memoryview(part)
+        for start in range(0, len(part), WRITE_BYTES):
+            async with asyncio.timeout(idle_s):
+                await self._stream.write(view[start : start + WRITE_BYTES])
 
     def _release_answer(self, pending: _PendingAnswer) -> None:
         """Return the memory of an answer that was sent."""
--- a/foxtailreach/tests/gateway/frontend_tests.py
+++ b/foxtailreach/tests/gateway/frontend_tests.py
@@ -38,12 +38,13 @@
 async def frontend(
     handle: Handle = echo,
     bodies: BodyBudget | None = None,
+    answers: AnswerMemory | None = None,
 ) -> AsyncIterator[tuple[Frontend, int]]:
     options = ReaderOptions(
         HEADER_NAMES,
         lambda: LIMITS,
         bodies or BodyBudget(100_000),
-        AnswerMemory(100_000),
+        answers or AnswerMemory(100_000),
     )
     server = Frontend(options, handle)
     sock, port = bind_unused_port()
@@ -340,3 +341,31 @@
     answers = asyncio.run(scenario())
     assert answers.count(b'HTTP/1.1 200') == 2
     assert answers.index(b'hi') < answers.index(b'ho')
+
+
+@pytest.mark.parametrize('requests', [1, 5])
+def test_caller_that_never_reads_is_idle(requests: int) -> None:
+    """Its connection and its answers must not be kept for ever."""
+    answers = AnswerMemory(100_000_000)
+    body = b'x' * 8_000_000
+
+    async def large(request: CallerRequest) -> CallerAnswer:
+        request.held_answer.grow(len(body))
+        return CallerAnswer(200, b'OK', [], body, Verdict.RAN)
+
+    async def scenario() -> None:
+        async with frontend(large, answers=answers) as (server, port):
+            _, writer = await asyncio.open_connection(
+                '127.0.0.1', port, limit=2**10
+            )
+            for _ in range(requests):
+                writer.write(HEAD + b'content-length: 0\r\n\r\n')
+            await asyncio.sleep(0.2)
+            assert server.connections
+            assert answers.held_bytes == requests * len(body)
+            await asyncio.sleep(0.5)
+            assert not server.connections
+            assert not answers.held_bytes
+            writer.close()
+
+    asyncio.run(scenario())
