Send nothing of a topic whose content the other host has

Cause: since a host that got its first copy late sent the whole topic to any host that had read less far, even if nothing had changed since. When a reader is lost, many hosts ask such a host. Found by reading the diff.

Change: a delta since an offset at or after the newest change is empty.

Measured: test_host_that_has_just_started_sends_no_more_than_others fails without the change; 16 tests of replicas pass.

--- a/foxtailreach/core/dispatch/mirror.py
+++ b/foxtailreach/core/dispatch/mirror.py
@@ -196,18 +196,21 @@
     def copy(self, since: int) -> TopicCopy:
         """Return what changed from an offset on.
 
-        That is the whole topic if not all changes since then are known.
+        That is nothing if the content was the same then, and the whole topic if
+        not all changes since then are known.
         """
-        base = since if since >= self._history_start else NO_VERSION
+        is_same = since >= self.changed_offset
+        is_known = since >= self._history_start
+        base = since if is_same or is_known else NO_VERSION
         records = [
             record
             for key, record in self.records.items()
-            if self._changed_offsets.get(key, base) >= base
+            if not is_same and self._changed_offsets.get(key, base) >= base
         ]
         removed = [
             key
             for key, removed_offset in self._removed_offsets.items()
-            if removed_offset >= base
+            if not is_same and removed_offset >= base
         ]
         return TopicCopy(
             topic=self.name,
--- a/foxtailreach/tests/dispatch/mirror_tests.py
+++ b/foxtailreach/tests/dispatch/mirror_tests.py
@@ -219,6 +219,24 @@
     assert values_of(follower) == values_of(reader)
 
 
+def test_host_that_has_just_started_sends_no_more_than_others() -> None:
+    """Many hosts ask it when their reader is lost; most lack nothing."""
+    log = Log()
+    reader, follower, started = mirror(), mirror(), mirror()
+    for key in ('a', 'b'):
+        log.append(key, b'v')
+    log.read(reader, 'log')
+    pull(follower, reader)
+    log.append('a', b'v')
+    log.read(reader, 'log')
+    pull(started, reader)
+    (copy,) = started.deltas_since(follower.pull_versions())
+    assert not copy.records
+    assert not copy.removed
+    follower.adopt([copy])
+    assert follower.versions() == reader.versions()
+
+
 KEYS = st.sampled_from(('a', 'b', 'c'))
 HOSTS = st.integers(0, 2)
 STEPS = st.one_of(
