List the loss of both holders of a meter, with a test

Nobody else keeps the admissions, and the next holders assume an even use, which docs/design/limits.md names as a known gap.

--- a/foxtailreach/tests/dispatch/fleet_limit_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_limit_tests.py
@@ -144,6 +144,25 @@
     assert replay.most_arrivals_in_window() <= load.allowed_requests
 
 
+async def kill_both_hosts_for_a_moment(replay: FleetReplay) -> None:
+    """Kill both hosts of a customer which just sent its burst, at once."""
+    await asyncio.sleep(1.5)
+    holders = replay.meter_host(0), replay.meter_host(1)
+    await asyncio.gather(
+        *(replay.kill(host_id, QUICK_RESTART_S) for host_id in holders)
+    )
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_limit_holds_after_the_loss_of_both_meters(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a limit admitted twice when no holder knows the window."""
+    load = replace(SMALL, demand=5, seconds=16)
+    replay = replay_fleet(load, seed, monkeypatch, kill_both_hosts_for_a_moment)
+    assert replay.most_arrivals_in_window() <= load.allowed_requests
+
+
 async def lose_the_meter_after_a_removal(replay: FleetReplay) -> None:
     """Remove the second host, restart the first, and kill it later."""
     await replay.remove(replay.meter_host(1))
