Carry request class, customer, sizes and store eras in fleet messages

Cause: a broker knows one mean service time a service, cannot tell customers apart, and replicas compare offsets that a restored store gives out again.

--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -10,6 +10,8 @@
 import enum
 from dataclasses import dataclass
 
+import xxhash
+
 from foxtailreach.core.dispatch.deployment import RequestKind
 from foxtailreach.core.messages import (
     Ack,
@@ -67,6 +69,16 @@
     NOT_OWNER = 'not-owner'
 
 
+def classify_request(route: str, method: bytes) -> int:
+    """Return the class of a request: its route and method, as 31 bits.
+
+    It is never 0, which stands for an unknown class.
+    """
+    digest = xxhash.xxh32(route.encode())
+    digest.update(method)
+    return int(digest.intdigest() >> 1) or 1
+
+
 @dataclass(slots=True, frozen=True)
 class SlotRequest:
     """Requests a slot on a target of a service.
@@ -75,7 +87,9 @@
     time of sending; the latter may be negative. `is_repeat` marks a retry;
     `may_repeat` means that the request may be retried if it fails.
     `connected` lists the targets to which the sender has an idle connection,
-    `excluded` those that it must not get.
+    `excluded` those that it must not get. Requests of the same `request_class`
+    (see `classify_request`) are expected to cost about the same; 0 is unknown.
+    `customer` is '' on an open route.
     """
 
     ask_id: int
@@ -90,6 +104,9 @@
     fingerprint: int
     connected: tuple[str, ...] = ()
     excluded: tuple[str, ...] = ()
+    customer: str = ''
+    request_class: int = 0
+    body_bytes: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -170,6 +187,9 @@
     fingerprint: int
     is_leaving: bool = False
     pause_us: int = 0
+    request_class: int = 0
+    body_bytes: int = 0
+    answer_bytes: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -241,11 +261,32 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetEvidence:
-    """Ages of a target's last success and last failure; -1 if none."""
+    """Ages of a target's last success and last failure; -1 if none.
+
+    `slowness_permille` is how long the target takes for a request, relative to
+    the estimate of its class: 1000 is as expected, 0 unknown.
+    """
 
     target_id: str
     served_age_us: int
     failed_age_us: int
+    slowness_permille: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class ClassCost:
+    """Estimated service time and answer size of one class of requests.
+
+    `tail_permille` is the share of requests that take several times the mean;
+    `samples` is the number of answers that the estimate rests on.
+    """
+
+    request_class: int
+    mean_us: int
+    deviation_us: int
+    tail_permille: int
+    answer_bytes: int
+    samples: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -254,6 +295,7 @@
 
     service_name: str
     entries: tuple[TargetEvidence, ...]
+    costs: tuple[ClassCost, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -287,13 +329,15 @@
 
     The topic was read up to `next_offset`; none of its records from
     `changed_offset` on is a change. `digest` hashes all keys and values. The
-    offsets are -1 if the topic was never read.
+    offsets are -1 if the topic was never read. Offsets of different eras of the
+    store cannot be compared.
     """
 
     topic: str
     changed_offset: int
     next_offset: int
     digest: int
+    era: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -346,12 +390,17 @@
     records: tuple[KeyedRecord, ...]
     removed: tuple[str, ...]
     digest: int
+    era: int = 0
 
     @property
     def version(self) -> TopicVersion:
         """Version of the topic after the change."""
         return TopicVersion(
-            self.topic, self.changed_offset, self.next_offset, self.digest
+            self.topic,
+            self.changed_offset,
+            self.next_offset,
+            self.digest,
+            self.era,
         )
 
 
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -129,6 +129,7 @@
     granted_version: int = -1
     known_version: int = -1
     is_known_as_left: bool = False
+    answer_bytes: int = 0
     notice: TargetNotice = NO_NOTICE
     said: TargetNotice = NO_NOTICE
 
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -412,6 +412,7 @@
                 is_repeatable=context.is_repeatable,
             )
             attempt.outcome = answer.outcome
+            attempt.answer_bytes = len(answer.body)
             self._record_notice(slot.grant, attempt, answer.notice)
         finally:
             self._report(context, slot, attempt, requested_us)
@@ -480,6 +481,9 @@
                 fingerprint=_fingerprint(context),
                 is_leaving=attempt.notice.is_leaving,
                 pause_us=attempt.notice.pause_us,
+                request_class=_request_class(context),
+                body_bytes=len(context.request.body),
+                answer_bytes=attempt.answer_bytes,
             ),
         )
 
@@ -504,6 +508,9 @@
             fingerprint=_fingerprint(context),
             connected=self._upstream.connected_targets(now_us),
             excluded=tuple(context.excluded),
+            customer=context.customer_name,
+            request_class=_request_class(context),
+            body_bytes=len(context.request.body),
         )
 
     def _may_retry(self, context: RequestContext, answer: TargetAnswer) -> bool:
@@ -619,6 +626,10 @@
     return refusal(status, Verdict.NOT_RUN, reason)
 
 
+def _request_class(context: RequestContext) -> int:
+    return messages.classify_request(context.route.name, context.request.method)
+
+
 def _fingerprint(context: RequestContext) -> int:
     """Hash the parts of a request that can make it crash a target.
 
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -26,7 +26,8 @@
   1: i64 ask_id, 2: string service_name, 3: string kind, 4: i32 priority,
   5: i64 time_left_us, 6: i64 objective_left_us, 7: bool is_repeat,
   8: bool may_repeat, 9: i64 fingerprint, 10: list<string> connected,
-  11: list<string> excluded, 12: bool is_surplus
+  11: list<string> excluded, 12: bool is_surplus, 13: string customer,
+  14: i64 request_class, 15: i64 body_bytes
 }
 
 struct SlotGrant {
@@ -47,7 +48,8 @@
 struct SlotReport {
   1: i64 ask_id, 2: string service_name, 3: string target_id, 4: i64 started_ms,
   5: string outcome, 6: i64 latency_us, 7: i64 fingerprint, 8: bool is_leaving,
-  9: i64 pause_us
+  9: i64 pause_us, 10: i64 request_class, 11: i64 body_bytes,
+  12: i64 answer_bytes
 }
 
 struct ChargeRequest {
@@ -70,17 +72,27 @@
 struct MeterRequest { 1: string customer }
 
 struct TargetEvidence {
-  1: string target_id, 2: i64 served_age_us, 3: i64 failed_age_us
+  1: string target_id, 2: i64 served_age_us, 3: i64 failed_age_us,
+  4: i64 slowness_permille
 }
 
-struct EvidenceDigest { 1: string service_name, 2: list<TargetEvidence> entries }
+struct ClassCost {
+  1: i64 request_class, 2: i64 mean_us, 3: i64 deviation_us,
+  4: i64 tail_permille, 5: i64 answer_bytes, 6: i64 samples
+}
+
+struct EvidenceDigest {
+  1: string service_name, 2: list<TargetEvidence> entries,
+  3: list<ClassCost> costs
+}
 
 struct HostAnnounced { 1: HostEntry entry, 2: i64 incarnation }
 
 struct HostUnknown { 1: string host_id }
 
 struct TopicVersion {
-  1: string topic, 2: i64 changed_offset, 3: i64 next_offset, 4: i64 digest
+  1: string topic, 2: i64 changed_offset, 3: i64 next_offset, 4: i64 digest,
+  5: i64 era
 }
 
 struct StateNotice {
@@ -95,7 +107,7 @@
 struct TopicCopy {
   1: string topic, 2: i64 changed_offset, 3: i64 next_offset,
   4: list<KeyedRecord> records, 5: i64 base_offset,
-  6: list<string> removed, 7: i64 digest
+  6: list<string> removed, 7: i64 digest, 8: i64 era
 }
 
 struct StateCopy {
