Keep requests in the failure domain of their caller where none may be lost

Change: with fault_tolerance.zones = 0 a target of the caller's domain with fresh evidence goes first, and coverage of idle targets is kept by the requests of their own domain unless many fail. Other deployments are placed as before.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -136,6 +136,8 @@
         policy: RetryPolicy,
         rng: random.Random,
         now_us: int,
+        *,
+        prefers_own_domain: bool = False,
     ) -> None:
         """Create a broker without targets; `update_targets` adds them."""
         self.records: dict[str, TargetRecord] = {}
@@ -145,7 +147,11 @@
         self._queue = wait_queue.WaitQueue(rng)
         self._retry_budget = RetryBudget(policy)
         self._mean_service_us = float(DEFAULT_SERVICE_TIME_US)
-        self._placement = PlacementState(now_us, DEFAULT_SERVICE_TIME_US)
+        self._placement = PlacementState(
+            now_us,
+            DEFAULT_SERVICE_TIME_US,
+            prefers_own_domain=prefers_own_domain,
+        )
         self._outcomes = RecentOutcomes(now_us)
         self._leases: dict[Holder, Lease] = {}
         self._last_check_us = now_us
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -65,7 +65,9 @@
 class FleetConfig:
     """Identity of a host, and the fleet-wide retry and rate limits.
 
-    `is_first_start` tells that the whole fleet starts for the first time.
+    `is_first_start` tells that the whole fleet starts for the first time,
+    `prefers_own_domain` that requests stay in the failure domain of their
+    caller where they can.
     """
 
     entry: core_messages.HostEntry
@@ -73,6 +75,7 @@
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
     is_first_start: bool = False
+    prefers_own_domain: bool = False
 
 
 class FleetNode:
@@ -128,7 +131,11 @@
         self._targets_by_id: dict[str, TargetSpec] = {}
         self.notices = TargetNotices()
         self.evacuated: frozenset[str] = frozenset()
-        self._brokers = ServiceBrokers(config.retry_policy, rng)
+        self._brokers = ServiceBrokers(
+            config.retry_policy,
+            rng,
+            prefers_own_domain=config.prefers_own_domain,
+        )
         self._host_messages = HostMessages(
             config.entry,
             self.membership,
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -27,6 +27,9 @@
 NEW_CONNECTION_REPEATABLE_COST_US = 4 * SECOND_US
 # A small request to another failure domain adds about 3 ms and few bytes.
 REMOTE_COST_US = 100 * MILLISECOND_US
+# Where requests stay in their domain, any target of it with fresh evidence goes
+# before those elsewhere: this is as long as evidence is valid.
+REMOTE_OWN_DOMAIN_COST_US = 6 * SECOND_US
 # Traffic between failure domains is expensive: a download of 90 KB costs a
 # third of the value of its request.
 REMOTE_DOWNLOAD_COST_US = 30 * SECOND_US
@@ -66,7 +69,9 @@
 class PlacementState:
     """The state of a service that placement depends on.
 
-    `is_sole` means that no other host brokers the service.
+    `is_sole` means that no other host brokers the service. With
+    `prefers_own_domain` requests stay in the failure domain of their caller
+    while it has a target with fresh evidence and room.
     """
 
     started_us: int
@@ -74,8 +79,14 @@
     busy_slots: int = 0
     demand: CoverageDemand = CoverageDemand()
     is_sole: bool = True
+    prefers_own_domain: bool = False
     last_probe_us: int = 0
 
+    def keeps_local(self, request: PlacementRequest) -> bool:
+        """Tell whether a request leaves its domain only if it has to."""
+        is_download = request.kind is RequestKind.DOWNLOAD
+        return is_download or self.prefers_own_domain
+
 
 def choose_target(
     records: Iterable[TargetRecord],
@@ -95,7 +106,7 @@
             record for record in records if not record.is_warming_up(now_us)
         ]
     groups, proven_slots = _group_by_status(records, request, state, now_us)
-    underused = _underused(records, request, state.demand, now_us)
+    underused = _underused(records, request, state, now_us)
     if underused is not None:
         return underused
     probe = _choose_probe(
@@ -107,11 +118,11 @@
     )
     if probe is not None:
         return probe
-    local = _local_download(groups, request, now_us)
+    local = _local_download(groups, request, state, now_us)
     if local is not None:
         return local
     if groups[TargetStatus.PROVEN]:
-        return _cheapest(groups[TargetStatus.PROVEN], request, now_us)
+        return _cheapest(groups[TargetStatus.PROVEN], request, state, now_us)
     if (
         proven_slots
         and not request.may_probe
@@ -119,7 +130,7 @@
     ):
         return None
     if groups[TargetStatus.UNPROVEN]:
-        return _cheapest(groups[TargetStatus.UNPROVEN], request, now_us)
+        return _cheapest(groups[TargetStatus.UNPROVEN], request, state, now_us)
     return _oldest_failure(groups[TargetStatus.EJECTED])
 
 
@@ -166,10 +177,10 @@
     is_due = now_us - state.last_probe_us > PROBE_INTERVAL_US
     if joined and (request.may_probe or is_due):
         state.last_probe_us = now_us
-        return _cheapest(joined, request, now_us)
+        return _cheapest(joined, request, state, now_us)
     if not request.may_probe:
         return None
-    if request.kind is RequestKind.DOWNLOAD:
+    if state.keeps_local(request):
         unproven = [
             record
             for record in unproven
@@ -177,13 +188,14 @@
         ]
     wanted = SPARE_FACTOR * (state.busy_slots + 1)
     if unproven and proven_slots < wanted:
-        return _cheapest(unproven, request, now_us)
+        return _cheapest(unproven, request, state, now_us)
     return None
 
 
 def _local_download(
     groups: dict[TargetStatus, list[TargetRecord]],
     request: PlacementRequest,
+    state: PlacementState,
     now_us: int,
 ) -> TargetRecord | None:
     """Return a target of the caller's domain for a download.
@@ -201,21 +213,25 @@
             if record.spec.domain == request.domain
         ]
         if local:
-            return _cheapest(local, request, now_us)
+            return _cheapest(local, request, state, now_us)
     return None
 
 
 def _cheapest(
     records: list[TargetRecord],
     request: PlacementRequest,
+    state: PlacementState,
     now_us: int,
 ) -> TargetRecord:
-    return min(records, key=lambda record: _cost_us(record, request, now_us))
+    return min(
+        records, key=lambda record: _cost_us(record, request, state, now_us)
+    )
 
 
 def _cost_us(
     record: TargetRecord,
     request: PlacementRequest,
+    state: PlacementState,
     now_us: int,
 ) -> int:
     """Express age of evidence, connection and distance as one cost."""
@@ -231,16 +247,18 @@
             else NEW_CONNECTION_COST_US
         )
     if record.spec.domain != request.domain:
-        cost_us += _remote_cost_us(request.kind)
+        cost_us += _remote_cost_us(request.kind, state)
     if record.is_warming_up(now_us):
         cost_us += SECOND_US
     return cost_us
 
 
-def _remote_cost_us(kind: RequestKind) -> int:
+def _remote_cost_us(kind: RequestKind, state: PlacementState) -> int:
     match kind:
         case RequestKind.DOWNLOAD:
             return REMOTE_DOWNLOAD_COST_US
+        case _ if state.prefers_own_domain:
+            return REMOTE_OWN_DOMAIN_COST_US
         case RequestKind.UPLOAD:
             return REMOTE_UPLOAD_COST_US
         case _:
@@ -250,32 +268,32 @@
 def _underused(
     records: list[TargetRecord],
     request: PlacementRequest,
-    demand: CoverageDemand,
+    state: PlacementState,
     now_us: int,
 ) -> TargetRecord | None:
     """Return a target that the coverage floor needs in use, or None.
 
     The last attempt of a repeatable request is not spent on such a target. A
-    download is sent to another domain only while many requests fail.
+    request that should stay in its domain leaves it only while many fail.
     """
     if request.kind.is_repeatable and not request.may_repeat:
         return None
     candidates = [
         record
         for record in underused_targets(
-            records, demand, now_us, is_probe=request.may_probe
+            records, state.demand, now_us, is_probe=request.may_probe
         )
         if record.has_free_slot(now_us)
         and not record.granted
         and record.spec.target_id not in request.excluded
     ]
-    if request.kind is RequestKind.DOWNLOAD:
+    if state.keeps_local(request):
         local = [
             record
             for record in candidates
             if record.spec.domain == request.domain
         ]
-        if local or not demand.is_failing:
+        if local or not state.demand.is_failing:
             candidates = local
     connected = [
         record
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -50,14 +50,22 @@
         '_entries',
         '_evacuated',
         '_policy',
+        '_prefers_own_domain',
         '_rng',
         '_state_version',
         '_targets',
     )
 
-    def __init__(self, policy: RetryPolicy, rng: random.Random) -> None:
+    def __init__(
+        self,
+        policy: RetryPolicy,
+        rng: random.Random,
+        *,
+        prefers_own_domain: bool = False,
+    ) -> None:
         """Create no brokers yet; `update` sets the configuration."""
         self._policy = policy
+        self._prefers_own_domain = prefers_own_domain
         self._rng = rng
         self._deployment: Deployment | None = None
         self._targets: tuple[TargetSpec, ...] = ()
@@ -223,7 +231,13 @@
         entry = self._entries.get(service)
         if entry is None:
             spec = deployment.services[service]
-            broker = Broker(spec, self._policy, self._rng, now_us)
+            broker = Broker(
+                spec,
+                self._policy,
+                self._rng,
+                now_us,
+                prefers_own_domain=self._prefers_own_domain,
+            )
             entry = BrokerEntry(broker, now_us)
             self._entries[service] = entry
             self._refresh(service, broker, now_us)
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -86,6 +86,7 @@
             settings.retry_policy,
             settings.limit_policy,
             settings.is_first_start,
+            settings.prefers_own_domain,
         )
         self._node = FleetNode.from_config(config, rng, boot_time_us())
         self._peers = PeerEndpoint(self._receive, self._node.announcement)
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -20,10 +20,7 @@
 )
 from foxtailreach.core.dispatch.fleet import FleetNode
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
-from foxtailreach.core.dispatch.target_notices import (
-    Incarnation,
-    TargetNotice,
-)
+from foxtailreach.core.dispatch.target_notices import Incarnation
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.daemon.clock import boot_time_us
@@ -411,9 +408,7 @@
                 context.deadline_us,
                 is_repeatable=context.is_repeatable,
             )
-            attempt.outcome = answer.outcome
-            attempt.answer_bytes = len(answer.body)
-            self._record_notice(slot.grant, attempt, answer.notice)
+            self._record_answer(slot.grant, attempt, answer)
         finally:
             self._report(context, slot, attempt, requested_us)
         attempt.is_reused = answer.is_reused
@@ -424,13 +419,16 @@
             context.sends += 1
         return answer
 
-    def _record_notice(
+    def _record_answer(
         self,
         grant: messages.SlotGrant,
         attempt: AttemptTrace,
-        notice: TargetNotice,
+        answer: TargetAnswer,
     ) -> None:
         """Keep what a target says of itself; log it unless it is known."""
+        attempt.outcome = answer.outcome
+        attempt.answer_bytes = len(answer.body)
+        notice = answer.notice
         attempt.said = notice
         if not notice:
             return
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -43,6 +43,7 @@
     `capacity` is the processor time of the host in hundredths of a core;
     `max_body_memory_bytes` bounds the memory for the bodies of all requests,
     `max_answer_memory_bytes` that for the answers to all of them.
+    The fleet must bear the loss of `tolerated_domain_losses` failure domains.
     """
 
     host_id: str
@@ -61,8 +62,18 @@
     max_answer_memory_bytes: int
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
+    tolerated_domain_losses: int = 1
     target_heartbeat_us: int = 1500 * MILLISECOND_US
 
+    @property
+    def prefers_own_domain(self) -> bool:
+        """Whether requests stay in the failure domain of their caller.
+
+        Where no failure domain may be lost, the targets of others need not be
+        kept in use by all callers.
+        """
+        return self.tolerated_domain_losses == 0
+
     @property
     def entry(self) -> HostEntry:
         """Entry of this host in the list of hosts."""
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -22,6 +22,7 @@
 BROKER_SLACK_SHARE = 0.5
 DEFAULT_MEMORY_MB = 200
 DEFAULT_HEARTBEAT_MS = 1500
+DEFAULT_DOMAIN_LOSSES = 1
 # The process itself takes 40 MB of 200; answers in flight share the rest.
 BODY_MEMORY_SHARE = 0.4
 ANSWER_MEMORY_SHARE = 0.25
@@ -77,6 +78,7 @@
     ports = table['internal_ports']
     limits = table.get('limits', {})
     memory_bytes = limits.get('memory_mb', DEFAULT_MEMORY_MB) * BYTES_PER_MB
+    tolerated = table.get('fault_tolerance', {})
     return GatewaySettings(
         host_id=table['node_name'],
         domain=table['zone'],
@@ -104,6 +106,9 @@
             overage=bounds.get('quota_overage', 0),
             slack=bounds.get('quota_slack', 0),
         ),
+        tolerated_domain_losses=int(
+            tolerated.get('zones', DEFAULT_DOMAIN_LOSSES)
+        ),
         target_heartbeat_us=int(
             table.get('heartbeat_ms', DEFAULT_HEARTBEAT_MS) * MILLISECOND_US
         ),
