--- a/foxtailreach/core/crashes.py
+++ b/foxtailreach/core/crashes.py
@@ -14,6 +14,7 @@
 
     __slots__ = (
         '_crashed_targets',
+        '_elsewhere',
         '_expires_us',
         '_quarantine_us',
         '_seen_reports',
@@ -33,6 +34,7 @@
         self._targets_to_quarantine = targets_to_quarantine
         self._quarantine_us = quarantine_us
         self._crashed_targets: dict[int, set[str]] = {}
+        self._elsewhere: dict[str, dict[int, frozenset[str]]] = {}
         self._expires_us: dict[int, int] = {}
         self._seen_reports: dict[str, int] = {}
 
@@ -83,8 +85,25 @@
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Tell whether this fingerprint is refused for its crashes."""
-        crashed = self._crashed_targets.get(fingerprint, ())
-        return len(crashed) >= self._targets_to_quarantine
+        crashed = self._crashed_targets.get(fingerprint, set())
+        elsewhere = [
+            known.get(fingerprint, frozenset())
+            for known in self._elsewhere.values()
+        ]
+        return len(crashed.union(*elsewhere)) >= self._targets_to_quarantine
+
+    def crashed_targets(self) -> dict[int, frozenset[str]]:
+        """Return the crashed targets of each fingerprint, as seen here."""
+        return {
+            fingerprint: frozenset(targets)
+            for fingerprint, targets in self._crashed_targets.items()
+        }
+
+    def replace_elsewhere(
+        self, source: str, crashed_targets: dict[int, frozenset[str]]
+    ) -> None:
+        """Replace what another tracker of the same requests has seen."""
+        self._elsewhere[source] = crashed_targets
 
     def expire(self, now_us: int) -> None:
         """Drop reports that are older than the quarantine."""
--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -14,7 +14,6 @@
 from foxtailreach.core.dispatch import messages, wait_queue
 from foxtailreach.core.dispatch.budgets import RetryBudget, RetryPolicy
 from foxtailreach.core.dispatch.cover import (
-    IN_USE_WINDOW_US,
     CoverageDemand,
     RecentOutcomes,
     has_failed_last,
@@ -27,7 +26,9 @@
     PlacementRequest,
     PlacementState,
     choose_target,
+    has_target_by_evidence,
 )
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.dispatch.target_notices import TargetNotice
 from foxtailreach.core.dispatch.target_record import (
     SLOW_FACTOR,
@@ -115,18 +116,19 @@
     """State machine that grants the slots of one service's targets."""
 
     __slots__ = (
-        '_crashes',
         '_ended',
         '_last_check_us',
         '_leases',
         '_mean_service_us',
         '_outcomes',
         '_placement',
+        '_pool',
         '_queue',
         '_retry_budget',
         '_rng',
         '_spec',
         '_state_version',
+        'crashes',
         'records',
     )
 
@@ -137,9 +139,14 @@
         rng: random.Random,
         now_us: int,
         *,
+        pool: Pool | None = None,
         prefers_own_domain: bool = False,
     ) -> None:
-        """Create a broker without targets; `update_targets` adds them."""
+        """Create a broker without targets; `update_targets` adds them.
+
+        Its targets are those of `pool`, by default all of the service.
+        """
+        self._pool = pool or Pool(spec.name)
         self.records: dict[str, TargetRecord] = {}
         self._spec = spec
         self._state_version = NO_VERSION
@@ -157,31 +164,56 @@
         self._last_check_us = now_us
         # Requests that were reported or withdrawn, the oldest first.
         self._ended: dict[Holder, EndedRequest] = {}
-        self._crashes = CrashTracker(CRASHES_TO_QUARANTINE, CRASH_WINDOW_US)
+        self.crashes = CrashTracker(CRASHES_TO_QUARANTINE, CRASH_WINDOW_US)
 
     def set_standing(self, standing: Standing) -> None:
         """Set how this host stands among the brokers of the service."""
         self._placement.is_sole = standing.is_sole
         self._retry_budget.has_slack = standing.is_settled
 
+    @property
+    def service_time_us(self) -> int:
+        """Mean service time of the recent answers."""
+        return int(self._mean_service_us)
+
     @property
     def queue_length(self) -> int:
         """Count the requests that wait for a slot."""
         return len(self._queue)
 
+    def is_decided(self, host_id: str, ask_id: int) -> bool:
+        """Tell whether a request has a slot, or has been ended."""
+        holder = (host_id, ask_id)
+        return holder in self._leases or holder in self._ended
+
+    def finds_target(
+        self,
+        host_id: str,
+        domain: str,
+        request: messages.SlotRequest,
+        now_us: int,
+    ) -> bool:
+        """Tell whether a request would get a target without the last resort.
+
+        It would not while others wait.
+        """
+        if self._queue or self._pause_left_us(now_us):
+            return False
+        waiter = wait_queue.Waiter(
+            host_id, domain, request, now_us, now_us, now_us
+        )
+        self._update_placement(now_us)
+        return has_target_by_evidence(
+            self.records.values(),
+            self._placement_request(waiter, now_us),
+            self._placement,
+            now_us,
+        )
+
     def coverage(self, now_us: int) -> CoverageDemand:
         """Return the present demand for coverage of the targets."""
         return self._outcomes.demand(len(self.records), now_us)
 
-    def idle_targets(self, now_us: int) -> int:
-        """Count the usable targets that have had no request for a while."""
-        return sum(
-            record.accepts_work
-            and not record.is_paused(now_us)
-            and now_us - record.last_grant_us > IN_USE_WINDOW_US
-            for record in self.records.values()
-        )
-
     def update_targets(
         self,
         spec: ServiceSpec,
@@ -231,7 +263,7 @@
         if holder in self._ended:
             # A late copy of a message must not take another slot.
             return []
-        if self._crashes.is_quarantined(request.fingerprint):
+        if self.crashes.is_quarantined(request.fingerprint):
             return [
                 self._refuse(
                     host_id,
@@ -245,7 +277,7 @@
         ):
             cause = RefusalCause.REPEAT_BUDGET
             return [
-                self._refuse(host_id, request, cause, self._service_time_us()),
+                self._refuse(host_id, request, cause, self.service_time_us),
             ]
         return self._admit(host_id, domain, request, now_us)
 
@@ -343,11 +375,11 @@
             for target_id, record in self.records.items()
             if record.is_tried
         )
-        return messages.EvidenceDigest(self._spec.name, entries)
+        return messages.EvidenceDigest(self._pool.name, entries)
 
     def tick(self, now_us: int) -> Effects:
         """Expire leases and waiting requests, then serve the queue."""
-        self._crashes.expire(now_us)
+        self.crashes.expire(now_us)
         self._forget_ended(now_us)
         expired = [
             holder
@@ -375,14 +407,14 @@
         if now_us - self._last_check_us < SLOT_CHECK_INTERVAL_US:
             return []
         self._last_check_us = now_us
-        granted_before_us = now_us - overdue_after_us(self._service_time_us())
+        granted_before_us = now_us - overdue_after_us(self.service_time_us)
         overdue: dict[str, list[int]] = {}
         for (host_id, ask_id), lease in self._leases.items():
             if lease.granted_us < granted_before_us:
                 overdue.setdefault(host_id, []).append(ask_id)
         return [
             messages.SendHost(
-                host_id, messages.SlotCheck(self._spec.name, tuple(ask_ids))
+                host_id, messages.SlotCheck(self._pool.name, tuple(ask_ids))
             )
             for host_id, ask_ids in overdue.items()
         ]
@@ -404,7 +436,10 @@
         if pause_us:
             self._outcomes.record_request(now_us, is_served=False)
             return [self._refuse_paused(host_id, request, pause_us)]
-        if not self._usable_slots(now_us):
+        if not any(
+            record.accepts_work and not record.is_paused(now_us)
+            for record in self.records.values()
+        ):
             cause = RefusalCause.NO_TARGET
             wait_us = wait_queue.MIN_RETRY_AFTER_US
             self._outcomes.record_request(now_us, is_served=False)
@@ -415,7 +450,7 @@
         if wait_queue.cannot_finish_in_time(
             request,
             wait_us,
-            self._service_time_us(),
+            self.service_time_us,
         ):
             self._outcomes.record_request(now_us, is_served=False)
             return [self._refuse_overload(host_id, request)]
@@ -431,25 +466,29 @@
         pause_us = self._pause_left_us(now_us)
         if pause_us:
             return self._refuse_waiting(pause_us, now_us)
-        state = self._placement
-        state.service_us = self._service_time_us()
-        state.busy_slots = len(self._leases)
-        state.demand = self.coverage(now_us)
+        self._update_placement(now_us)
         new_effects: Effects = []
-        for waiter in self._queue.ordered(now_us, self._service_time_us()):
-            if not self._has_free_slot(now_us):
+        for waiter in self._queue.ordered(now_us, self.service_time_us):
+            if not any(
+                record.has_free_slot(now_us) for record in self.records.values()
+            ):
                 break
             placement_request = self._placement_request(waiter, now_us)
             record = choose_target(
                 self.records.values(),
                 placement_request,
-                state,
+                self._placement,
                 now_us,
             )
             if record is not None:
                 new_effects.append(self._grant(waiter, record, now_us))
         return new_effects
 
+    def _update_placement(self, now_us: int) -> None:
+        self._placement.service_us = self.service_time_us
+        self._placement.busy_slots = len(self._leases)
+        self._placement.demand = self.coverage(now_us)
+
     def _pause_left_us(self, now_us: int) -> int:
         """Return the time until the first target ends its pause.
 
@@ -505,11 +544,6 @@
             excluded=frozenset(slot_request.excluded),
         )
 
-    def _has_free_slot(self, now_us: int) -> bool:
-        return any(
-            record.has_free_slot(now_us) for record in self.records.values()
-        )
-
     def _grant(
         self,
         waiter: wait_queue.Waiter,
@@ -519,8 +553,7 @@
         slot_request = waiter.slot_request
         self._queue.remove(waiter.host_id, slot_request.ask_id)
         is_proven = (
-            record.status(now_us, self._service_time_us())
-            is TargetStatus.PROVEN
+            record.status(now_us, self.service_time_us) is TargetStatus.PROVEN
         )
         proven_age_us = now_us - record.last_served_us if is_proven else -1
         expires_us = (
@@ -590,14 +623,14 @@
         match report.outcome:
             case SendOutcome.LOST:
                 target_id = report.target_id
-                self._crashes.report_crash(
+                self.crashes.report_crash(
                     fingerprint,
                     target_id,
                     report_id,
                     now_us,
                 )
-            case SendOutcome.SERVED if self._crashes.is_suspect(fingerprint):
-                self._crashes.withdraw(fingerprint, report_id, now_us)
+            case SendOutcome.SERVED if self.crashes.is_suspect(fingerprint):
+                self.crashes.withdraw(fingerprint, report_id, now_us)
             case _:
                 return
 
@@ -609,24 +642,18 @@
         if record is not None:
             record.release((host_id, ask_id))
 
-    def _usable_slots(self, now_us: int) -> int:
-        return sum(
+    def _expected_wait_us(self, priority: int, now_us: int) -> int:
+        slots = sum(
             record.spec.slots
             for record in self.records.values()
             if record.accepts_work and not record.is_paused(now_us)
         )
-
-    def _expected_wait_us(self, priority: int, now_us: int) -> int:
-        slots = self._usable_slots(now_us)
         return self._queue.expected_wait_us(
             priority,
             slots,
-            self._service_time_us(),
+            self.service_time_us,
         )
 
-    def _service_time_us(self) -> int:
-        return int(self._mean_service_us)
-
     def _queued_reply(
         self,
         host_id: str,
@@ -634,7 +661,7 @@
     ) -> messages.SendHost:
         return messages.SendHost(
             host_id,
-            messages.SlotQueued(request.ask_id, self._service_time_us()),
+            messages.SlotQueued(request.ask_id, self.service_time_us),
         )
 
     def _refuse_overload(
@@ -646,7 +673,7 @@
         wait_us = self._queue.expected_wait_us(
             request.priority,
             slots,
-            self._service_time_us(),
+            self.service_time_us,
         )
         return self._refuse(host_id, request, RefusalCause.OVERLOAD, wait_us)
 
--- a/foxtailreach/core/dispatch/cover.py
+++ b/foxtailreach/core/dispatch/cover.py
@@ -245,6 +245,16 @@
     return [record for _, record in idle]
 
 
+def count_idle(records: Iterable[TargetRecord], now_us: int) -> int:
+    """Count the usable targets that have had no request for a while."""
+    return sum(
+        record.accepts_work
+        and not record.is_paused(now_us)
+        and now_us - record.last_grant_us > IN_USE_WINDOW_US
+        for record in records
+    )
+
+
 def has_failed_last(record: TargetRecord) -> bool:
     """Tell whether nothing has succeeded since the target failed."""
     return record.last_failed_us > record.last_served_us
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -13,6 +13,7 @@
 from foxtailreach.core import messages as core_messages
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.broker import Standing
+from foxtailreach.core.dispatch.broker_ranking import BrokerRanking
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.coordinators import Coordinators
 from foxtailreach.core.dispatch.deployment import (
@@ -25,6 +26,8 @@
 from foxtailreach.core.dispatch.metering import Metering
 from foxtailreach.core.dispatch.meters import LimitPolicy
 from foxtailreach.core.dispatch.mirror import NO_VERSION
+from foxtailreach.core.dispatch.pool_messages import PoolStatus
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.dispatch.reach import Reach
 from foxtailreach.core.dispatch.reader_election import ReaderElection
 from foxtailreach.core.dispatch.service_brokers import Requester, ServiceBrokers
@@ -36,7 +39,6 @@
 )
 from foxtailreach.core.log_freshness import LogFreshness
 from foxtailreach.core.membership import HeartbeatTiming, Membership
-from foxtailreach.core.ranking import rank_candidates, top_candidate
 from foxtailreach.core.units import MILLISECOND_US
 
 # Hosts that use a lost broker detect the loss within 0.2 s; heartbeats only
@@ -56,8 +58,6 @@
 SUSPECTED_FOR_US = 1500 * MILLISECOND_US
 # When the whole fleet starts, no host has requests before it knows the others.
 FIRST_REQUESTS_AFTER_US = 500 * MILLISECOND_US
-# Hosts that are asked in turn.
-MIN_RANKED_HOSTS = 2
 LEFT_BY_LIST = 'the target leaves by the list of targets'
 
 
@@ -90,6 +90,7 @@
         '_host_messages',
         '_last_heard_us',
         '_metering',
+        '_ranking',
         '_reach',
         '_rng',
         '_suspected',
@@ -152,6 +153,9 @@
             rng,
             now_us,
         )
+        self._ranking = BrokerRanking(
+            self.membership, self._coordinators, self._reach
+        )
         self._metering = Metering(
             self.membership,
             self._reach,
@@ -189,9 +193,15 @@
             return False
         return now_us - self._last_heard_us > ISOLATED_AFTER_US
 
-    def broker_hosts(self, service: str, now_us: int) -> list[str]:
-        """Rank the hosts that may broker a service, the first to ask first."""
-        return self._ranked(_service_subject(service), now_us)
+    def pool_of(self, service: str) -> Pool:
+        """Return the pool that this host's requests to a service go to."""
+        if self._config.prefers_own_domain:
+            return Pool(service, self._config.entry.domain)
+        return Pool(service)
+
+    def broker_hosts(self, pool: Pool, now_us: int) -> list[str]:
+        """Rank the hosts that may broker a pool, the first to ask first."""
+        return self._ranking.trusted_hosts(pool, self._suspected, now_us)
 
     def meter_hosts(self, customer: str, now_us: int) -> list[str]:
         """Rank the hosts that may meter a customer, the first to ask first.
@@ -354,7 +364,11 @@
         new_effects.extend(self._metering.watch_membership(now_us))
         new_effects.extend(self._decide_held_charges(now_us))
         new_effects.extend(self._check_holders(now_us))
-        new_effects.extend(self._brokers.tick(self._digest_recipients, now_us))
+        new_effects.extend(
+            self._brokers.tick(
+                self._ranking.successors, self._ranking.first, now_us
+            )
+        )
         new_effects.extend(self._brokers.coverage_notes(now_us))
         return new_effects
 
@@ -401,10 +415,10 @@
                 self._metering.merge(sender, message, now_us)
             case messages.MeterRequest():
                 return list(self._metering.answer(sender, message, now_us))
-            case messages.EvidenceDigest():
-                self._brokers.merge_remote_outcomes(message, now_us)
-            case messages.TurnedAway():
-                self._brokers.merge_remote_outcomes(message, now_us)
+            case (
+                messages.EvidenceDigest() | messages.TurnedAway() | PoolStatus()
+            ):
+                self._brokers.merge_remote(message, now_us)
             case _:
                 new_effects = self._host_messages.receive(
                     sender, message, now_us
@@ -413,16 +427,19 @@
                 return new_effects
         return []
 
-    def _standing(self, service: str, now_us: int) -> Standing:
+    def _standing(self, pool_name: str, now_us: int) -> Standing:
+        pool = self._pool_named(pool_name)
         self._reach.update(now_us)
-        subject = _service_subject(service)
-        first = self._reach.current.top(subject)[:1]
-        is_first = first == (self.host_id,)
-        is_settled = self._reach.history.was_first(
-            subject, self._brokered_since_us, now_us
+        is_first = self._ranking.first(pool) == self.host_id
+        is_settled = self._ranking.was_first(
+            pool, self._brokered_since_us, now_us
         )
         return Standing(is_first and not self.is_isolated(now_us), is_settled)
 
+    def _pool_named(self, name: str) -> Pool:
+        services = () if self.deployment is None else self.deployment.services
+        return Pool.parse(name, services) or Pool(name)
+
     def _find_customer(self, name: str) -> CustomerSpec | None:
         if self.deployment is None:
             return None
@@ -440,22 +457,6 @@
             )
         return new_effects
 
-    def _digest_recipients(self, service: str) -> list[str]:
-        """List the hosts that may broker a service next.
-
-        These are the next in rank, and the first in rank of each other domain,
-        which brokers the service if its domain is cut off.
-        """
-        subject = _service_subject(service)
-        recipients = dict.fromkeys(self._reach.current.top(subject))
-        for coordinators in self._coordinators.by_domain().values():
-            usable = filter(self.membership.is_usable, coordinators)
-            first = top_candidate(usable, subject)
-            if first is not None:
-                recipients[first] = None
-        recipients.pop(self.host_id, None)
-        return list(recipients)
-
     def _check_holders(self, now_us: int) -> Effects:
         """Ping hosts that hold slots for long; release those of lost ones."""
         if self._reach.resumed_us == now_us:
@@ -471,33 +472,6 @@
             new_effects.extend(self._brokers.host_lost(host_id, now_us))
         return new_effects
 
-    def _ranked(self, subject: str, now_us: int) -> list[str]:
-        """Rank the reachable hosts without those that are suspected.
-
-        Only the first few are ranked, unless most of these are suspected.
-        """
-        self._reach.update(now_us)
-        current = self._reach.current
-        trusted = [
-            host_id
-            for host_id in current.top(subject)
-            if self._suspected.get(host_id, 0) <= now_us
-        ]
-        if len(trusted) >= MIN_RANKED_HOSTS:
-            return trusted
-        return rank_candidates(
-            (
-                host_id
-                for host_id in current.hosts
-                if self._suspected.get(host_id, 0) <= now_us
-            ),
-            subject,
-        )
-
     def _domain_of(self, host_id: str) -> str:
         state = self.membership.hosts.get(host_id)
         return '' if state is None else state.entry.domain
-
-
-def _service_subject(service: str) -> str:
-    return f'service/{service}'
--- a/foxtailreach/core/dispatch/host_history.py
+++ b/foxtailreach/core/dispatch/host_history.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from foxtailreach.core.dispatch.meter import Period, Periods
 from foxtailreach.core.dispatch.meters import Absence
@@ -126,14 +126,19 @@
             if not ranked.holds_meter(self._host_id, subject)
         )
 
-    def was_first(self, subject: str, since_us: int, now_us: int) -> bool:
-        """Tell whether this host ranked first during the whole window.
+    def was_first(
+        self,
+        choose_first: Callable[[RankedHosts], str],
+        since_us: int,
+        now_us: int,
+    ) -> bool:
+        """Tell whether this host was the first of each set in the window.
 
         What was before `since_us` does not matter.
         """
         start_us = max(since_us, now_us - self._window_us)
         return all(
-            ranked.top(subject)[:1] == (self._host_id,)
+            choose_first(ranked) == self._host_id
             for ranked, period in self._periods(now_us)
             if period.end_us > start_us
         )
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -13,6 +13,11 @@
 import xxhash
 
 from foxtailreach.core.dispatch.deployment import RequestKind
+from foxtailreach.core.dispatch.pool_messages import (
+    PoolStatus,
+    SlotReferral,
+    SlotScope,
+)
 from foxtailreach.core.messages import (
     Ack,
     HostEntry,
@@ -46,7 +51,8 @@
 class RefusalCause(enum.StrEnum):
     """Why a broker does not grant a slot.
 
-    `PAUSED`: all targets of the service have asked for a pause.
+    `PAUSED`: all targets of the service have asked for a pause. `NO_SPARE`: a
+    pool has no slots to spare for requests of other domains.
     """
 
     NO_TARGET = 'no-target'
@@ -55,6 +61,7 @@
     QUARANTINED = 'quarantined'
     NOT_READY = 'not-ready'
     PAUSED = 'paused'
+    NO_SPARE = 'no-spare'
 
 
 class Admission(enum.StrEnum):
@@ -89,6 +96,7 @@
     `connected` lists the targets to which the sender has an idle connection,
     `excluded` those that it must not get. Requests of the same `request_class`
     (see `classify_request`) are expected to cost about the same; 0 is unknown.
+    `service_name` names a pool, see `Pool`, here and in other messages.
     `customer` is '' on an open route.
     """
 
@@ -107,6 +115,7 @@
     customer: str = ''
     request_class: int = 0
     body_bytes: int = 0
+    scope: SlotScope = SlotScope.FINAL
 
 
 @dataclass(slots=True, frozen=True)
@@ -429,6 +438,8 @@
     | SlotGrant
     | SlotQueued
     | SlotRefused
+    | SlotReferral
+    | PoolStatus
     | SlotCancel
     | SlotCheck
     | TurnedAway
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from foxtailreach.core.dispatch.cover import (
     CoverageDemand,
@@ -99,13 +99,57 @@
     Targets that the coverage floor needs come first, then probes, then proven
     targets. Unproven ones and then ejected ones are the last resort.
     """
-    records = list(records)
-    if not state.is_sole:
-        # Other hosts may already use the whole warm-up rate of a target.
-        records = [
-            record for record in records if not record.is_warming_up(now_us)
-        ]
+    records = _usable(records, state, now_us)
+    groups, proven_slots = _group_by_status(records, request, state, now_us)
+    chosen = _choose_by_evidence(
+        records, groups, request, state, now_us, proven_slots
+    )
+    if chosen is not None:
+        return chosen
+    if (
+        proven_slots
+        and not request.may_probe
+        and request.waited_us < PROVEN_WAIT_US
+    ):
+        return None
+    if groups[TargetStatus.UNPROVEN]:
+        return _cheapest(groups[TargetStatus.UNPROVEN], request, state, now_us)
+    return _oldest_failure(groups[TargetStatus.EJECTED])
+
+
+def has_target_by_evidence(
+    records: Iterable[TargetRecord],
+    request: PlacementRequest,
+    state: PlacementState,
+    now_us: int,
+) -> bool:
+    """Tell whether a request would get a target without the last resort."""
+    records = _usable(records, state, now_us)
     groups, proven_slots = _group_by_status(records, request, state, now_us)
+    # A probe that is not sent must not count as one.
+    chosen = _choose_by_evidence(
+        records, groups, request, replace(state), now_us, proven_slots
+    )
+    return chosen is not None
+
+
+def _usable(
+    records: Iterable[TargetRecord], state: PlacementState, now_us: int
+) -> list[TargetRecord]:
+    if state.is_sole:
+        return list(records)
+    # Other hosts may already use the whole warm-up rate of a target.
+    return [record for record in records if not record.is_warming_up(now_us)]
+
+
+def _choose_by_evidence(
+    records: list[TargetRecord],
+    groups: dict[TargetStatus, list[TargetRecord]],
+    request: PlacementRequest,
+    state: PlacementState,
+    now_us: int,
+    proven_slots: int,
+) -> TargetRecord | None:
     underused = _underused(records, request, state, now_us)
     if underused is not None:
         return underused
@@ -123,15 +167,7 @@
         return local
     if groups[TargetStatus.PROVEN]:
         return _cheapest(groups[TargetStatus.PROVEN], request, state, now_us)
-    if (
-        proven_slots
-        and not request.may_probe
-        and request.waited_us < PROVEN_WAIT_US
-    ):
-        return None
-    if groups[TargetStatus.UNPROVEN]:
-        return _cheapest(groups[TargetStatus.UNPROVEN], request, state, now_us)
-    return _oldest_failure(groups[TargetStatus.EJECTED])
+    return None
 
 
 def _group_by_status(
--- /dev/null
+++ b/foxtailreach/core/dispatch/pool_status.py
@@ -0,0 +1,52 @@
+"""What the broker of a pool tells those of the service's other pools."""
+
+from __future__ import annotations
+
+import math
+
+from foxtailreach.core.dispatch.broker import Broker
+from foxtailreach.core.dispatch.pool_messages import (
+    CrashedTargets,
+    PoolStatus,
+)
+from foxtailreach.core.dispatch.pools import Pool
+from foxtailreach.core.dispatch.target_record import TargetStatus
+
+# A pool keeps this share of its slots for the requests of its own domain.
+RESERVED_SHARE = 0.1
+# Bounds the size of a message.
+MAX_REPORTED_CRASHES = 16
+
+
+def create_status(pool: Pool, broker: Broker, now_us: int) -> PoolStatus:
+    """Describe a pool for the brokers of the other ones."""
+    crashed = list(broker.crashes.crashed_targets().items())
+    crashes = tuple(
+        CrashedTargets(fingerprint, tuple(sorted(target_ids)))
+        for fingerprint, target_ids in crashed[-MAX_REPORTED_CRASHES:]
+    )
+    return PoolStatus(pool.name, _spare_slots(broker, now_us), crashes)
+
+
+def crashes_by_fingerprint(status: PoolStatus) -> dict[int, frozenset[str]]:
+    """Return the crashed targets of a status by fingerprint."""
+    return {
+        one.fingerprint: frozenset(one.target_ids) for one in status.crashes
+    }
+
+
+def _spare_slots(broker: Broker, now_us: int) -> int:
+    """Count the free slots of targets with fresh evidence, less a reserve.
+
+    There are none while requests wait.
+    """
+    if broker.queue_length:
+        return 0
+    free = 0
+    total = 0
+    for record in broker.records.values():
+        total += record.spec.slots
+        status = record.status(now_us, broker.service_time_us)
+        if status is TargetStatus.PROVEN and record.has_free_slot(now_us):
+            free += record.spec.slots - len(record.granted)
+    return max(0, free - math.ceil(RESERVED_SHARE * total))
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -1,24 +1,45 @@
-"""The brokers of one host: created on first use, dropped when idle."""
+"""The brokers of one host, one a pool: made on first use, dropped when idle."""
 
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from foxtailreach.core import effects
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.broker import Broker, Effects, Standing
 from foxtailreach.core.dispatch.budgets import RetryPolicy
-from foxtailreach.core.dispatch.cover import CoverageDemand, CoverageScope
+from foxtailreach.core.dispatch.cover import (
+    CoverageDemand,
+    CoverageScope,
+    count_idle,
+)
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
 from foxtailreach.core.dispatch.mirror import NO_VERSION
-from foxtailreach.core.units import SECOND_US
+from foxtailreach.core.dispatch.pool_messages import (
+    PoolStatus,
+    SlotReferral,
+    SlotScope,
+)
+from foxtailreach.core.dispatch.pool_status import (
+    crashes_by_fingerprint,
+    create_status,
+)
+from foxtailreach.core.dispatch.pools import Pool, SpareSlots
+from foxtailreach.core.dispatch.target_record import TargetStatus
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
 # Evidence becomes stale fast.
 DIGEST_INTERVAL_US = SECOND_US
 NOTE_INTERVAL_US = SECOND_US
 BROKER_IDLE_US = 20 * SECOND_US
+# How often other pools learn of slots to spare.
+STATUS_INTERVAL_US = 500 * MILLISECOND_US
+# A pool without fresh evidence keeps a request at this interval, although other
+# pools have slots to spare: otherwise it would never get evidence again.
+KEEP_INTERVAL_US = SECOND_US
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,10 +53,17 @@
 
 @dataclass(slots=True)
 class BrokerEntry:
-    """A broker, and when it was last used."""
+    """The broker of a pool, and when it was last used.
 
+    `spare` are the slots to spare of the service's other pools.
+    """
+
+    pool: Pool
     broker: Broker
     last_used_us: int
+    spare: SpareSlots = field(default_factory=SpareSlots)
+    last_kept_us: int = 0
+    last_status_us: int = 0
     last_request_us: int = 0
     last_digest_us: int = 0
     last_note_us: int = 0
@@ -43,7 +71,7 @@
 
 
 class ServiceBrokers:
-    """One broker for each service for which this host gets messages."""
+    """One broker for each pool for which this host gets messages."""
 
     __slots__ = (
         '_deployment',
@@ -87,11 +115,14 @@
         self._targets = tuple(targets)
         self._evacuated = evacuated
         new_effects: Effects = []
-        for service, entry in list(self._entries.items()):
-            if deployment is None or service not in deployment.services:
-                self._entries.pop(service)
+        for name, entry in list(self._entries.items()):
+            if (
+                deployment is None
+                or entry.pool.service not in deployment.services
+            ):
+                self._entries.pop(name)
                 continue
-            new_effects.extend(self._refresh(service, entry.broker, now_us))
+            new_effects.extend(self._refresh(entry.pool, entry.broker, now_us))
         return new_effects
 
     def request_slot(
@@ -100,7 +131,7 @@
         request: messages.SlotRequest,
         now_us: int,
     ) -> Effects:
-        """Pass a request for a slot to the broker of its service.
+        """Pass a request for a slot to the broker of its pool, or refer it.
 
         The request is refused if the service is not configured here.
         """
@@ -111,9 +142,15 @@
             return [messages.SendHost(sender.host_id, refusal)]
         entry.last_request_us = now_us
         entry.broker.set_standing(sender.standing)
+        elsewhere = self._direct_elsewhere(entry, sender, request, now_us)
+        if elsewhere is not None:
+            return [
+                messages.SendHost(sender.host_id, elsewhere),
+                *entry.broker.cancel(sender.host_id, request.ask_id, now_us),
+            ]
         return entry.broker.request_slot(
             sender.host_id,
-            sender.domain,
+            entry.pool.domain or sender.domain,
             request,
             now_us,
         )
@@ -144,20 +181,23 @@
             return []
         return entry.broker.cancel(host_id, cancel.ask_id, now_us)
 
-    def merge_remote_outcomes(
+    def merge_remote(
         self,
-        message: messages.EvidenceDigest | messages.TurnedAway,
+        message: messages.EvidenceDigest | messages.TurnedAway | PoolStatus,
         now_us: int,
     ) -> None:
-        """Update a broker with outcomes from other hosts."""
-        entry = self._entry_for(message.service_name, now_us)
-        if entry is None:
-            return
+        """Update brokers with what other hosts have seen."""
         match message:
             case messages.EvidenceDigest():
-                entry.broker.merge_evidence(message, now_us)
+                entry = self._entry_for(message.service_name, now_us)
+                if entry is not None:
+                    entry.broker.merge_evidence(message, now_us)
             case messages.TurnedAway():
-                entry.broker.record_turned_away(now_us)
+                entry = self._entry_for(message.service_name, now_us)
+                if entry is not None:
+                    entry.broker.record_turned_away(now_us)
+            case PoolStatus():
+                self._record_pool_status(message, now_us)
 
     def oldest_grants(self) -> dict[str, int]:
         """Return the time of the oldest grant of each host with slots."""
@@ -177,32 +217,36 @@
 
     def tick(
         self,
-        choose_recipients: Callable[[str], Iterable[str]],
+        choose_recipients: Callable[[Pool], Iterable[str]],
+        choose_broker: Callable[[Pool], str],
         now_us: int,
     ) -> Effects:
         """Advance all brokers, drop idle ones, and send evidence digests.
 
-        Each active broker sends a digest to the recipients for its service,
-        every `DIGEST_INTERVAL_US`.
+        Each active broker sends a digest to the recipients for its pool, every
+        `DIGEST_INTERVAL_US`, and the slots that it can spare to the brokers of
+        the other pools of its service.
         """
         new_effects: Effects = []
-        for service, entry in list(self._entries.items()):
+        for name, entry in list(self._entries.items()):
             new_effects.extend(entry.broker.tick(now_us))
             if now_us - entry.last_used_us > BROKER_IDLE_US:
-                self._entries.pop(service)
-            elif _is_digest_due(entry, now_us):
+                self._entries.pop(name)
+                continue
+            if _is_digest_due(entry, now_us):
                 entry.last_digest_us = now_us
                 digest = entry.broker.digest(now_us)
                 new_effects.extend(
                     messages.SendHost(host_id, digest)
-                    for host_id in choose_recipients(service)
+                    for host_id in choose_recipients(entry.pool)
                 )
+            new_effects.extend(self._report_spare(entry, choose_broker, now_us))
         return new_effects
 
     def coverage_notes(self, now_us: int) -> list[effects.Note]:
         """Describe changes of the coverage, at most one in a second."""
         notes = []
-        for service, entry in self._entries.items():
+        for name, entry in self._entries.items():
             demand = entry.broker.coverage(now_us)
             is_due = now_us - entry.last_note_us > NOTE_INTERVAL_US
             if is_due and demand.scope is not entry.noted_scope:
@@ -211,45 +255,145 @@
                 notes.append(
                     effects.Note(
                         'coverage',
-                        service,
+                        name,
                         _describe_coverage(entry.broker, demand, now_us),
                     ),
                 )
         return notes
 
     def queue_lengths(self) -> dict[str, int]:
-        """Return the number of waiting requests of each service."""
+        """Return the number of waiting requests of each pool."""
         return {
-            service: entry.broker.queue_length
-            for service, entry in self._entries.items()
+            name: entry.broker.queue_length
+            for name, entry in self._entries.items()
         }
 
-    def _entry_for(self, service: str, now_us: int) -> BrokerEntry | None:
-        deployment = self._deployment
-        if deployment is None or service not in deployment.services:
+    def _direct_elsewhere(
+        self,
+        entry: BrokerEntry,
+        sender: Requester,
+        request: messages.SlotRequest,
+        now_us: int,
+    ) -> SlotReferral | messages.SlotRefused | None:
+        """Refer a request to another pool, or refuse it one of this pool.
+
+        None if the broker of this pool decides.
+        """
+        broker = entry.broker
+        host_id, ask_id = sender.host_id, request.ask_id
+        if request.scope is SlotScope.FINAL or broker.is_decided(
+            host_id, ask_id
+        ):
             return None
-        entry = self._entries.get(service)
-        if entry is None:
-            spec = deployment.services[service]
+        # To a pool all requests are from its own domain.
+        if broker.finds_target(host_id, entry.pool.domain, request, now_us):
+            return None
+        if request.scope is SlotScope.OVERFLOW:
+            if _has_untried_room(broker, now_us):
+                return None
+            cause = messages.RefusalCause.NO_SPARE
+            return messages.SlotRefused(ask_id, cause, 0)
+        others = self._domains_of(entry.pool.service) - {entry.pool.domain}
+        domain = entry.spare.take(others, now_us)
+        accepts_work = any(
+            record.accepts_work for record in broker.records.values()
+        )
+        if not accepts_work:
+            domain = domain or self._other_domain(entry.pool)
+        elif now_us - entry.last_kept_us > KEEP_INTERVAL_US:
+            entry.last_kept_us = now_us
+            return None
+        if not domain:
+            return None
+        return SlotReferral(ask_id, domain, is_final=not accepts_work)
+
+    def _record_pool_status(self, status: PoolStatus, now_us: int) -> None:
+        """Record the status of a pool for the other ones of its service."""
+        if self._deployment is None:
+            return
+        reported = Pool.parse(status.service_name, self._deployment.services)
+        for entry in self._entries.values():
+            if reported is None or not entry.pool.is_beside(reported):
+                continue
+            entry.spare.record(reported.domain, status.spare_slots, now_us)
+            entry.broker.crashes.replace_elsewhere(
+                reported.domain, crashes_by_fingerprint(status)
+            )
+
+    def _other_domain(self, pool: Pool) -> str:
+        """Return the other domain with the most targets; '' if none has any."""
+        counts = Counter(
+            target.domain
+            for target in self._targets
+            if target.service == pool.service
+            and target.domain != pool.domain
+            and not target.is_draining
+            and target.domain not in self._evacuated
+        )
+        return counts.most_common(1)[0][0] if counts else ''
+
+    def _report_spare(
+        self,
+        entry: BrokerEntry,
+        choose_broker: Callable[[Pool], str],
+        now_us: int,
+    ) -> Effects:
+        """Tell the brokers of the service's other pools of slots to spare."""
+        pool = entry.pool
+        is_active = now_us - entry.last_request_us < BROKER_IDLE_US
+        is_due = now_us - entry.last_status_us > STATUS_INTERVAL_US
+        if not pool.domain or not is_active or not is_due:
+            return []
+        entry.last_status_us = now_us
+        status = create_status(pool, entry.broker, now_us)
+        domains = self._domains_of(pool.service)
+        return [
+            messages.SendHost(host_id, status)
+            for domain in sorted(domains - {pool.domain})
+            if (host_id := choose_broker(Pool(pool.service, domain)))
+        ]
+
+    def _entry_for(self, name: str, now_us: int) -> BrokerEntry | None:
+        deployment = self._deployment
+        entry = self._entries.get(name)
+        if entry is None and deployment is not None:
+            pool = Pool.parse(name, deployment.services)
+            if pool is None:
+                return None
             broker = Broker(
-                spec,
-                self._policy,
+                deployment.services[pool.service],
+                self._retry_policy(pool),
                 self._rng,
                 now_us,
+                pool=pool,
                 prefers_own_domain=self._prefers_own_domain,
             )
-            entry = BrokerEntry(broker, now_us)
-            self._entries[service] = entry
-            self._refresh(service, broker, now_us)
-        entry.last_used_us = now_us
+            entry = BrokerEntry(pool, broker, now_us)
+            self._entries[name] = entry
+            self._refresh(pool, broker, now_us)
+        if entry is not None:
+            entry.last_used_us = now_us
         return entry
 
-    def _refresh(self, service: str, broker: Broker, now_us: int) -> Effects:
+    def _retry_policy(self, pool: Pool) -> RetryPolicy:
+        """Return the policy of a pool, which has its part of the slack."""
+        if not pool.domain:
+            return self._policy
+        domains = self._domains_of(pool.service)
+        slack = self._policy.slack // max(1, len(domains))
+        return replace(self._policy, slack=slack)
+
+    def _domains_of(self, service: str) -> set[str]:
+        return {
+            target.domain
+            for target in self._targets
+            if target.service == service
+        }
+
+    def _refresh(self, pool: Pool, broker: Broker, now_us: int) -> Effects:
         assert self._deployment is not None
-        targets = [
-            target for target in self._targets if target.service == service
-        ]
-        spec = self._deployment.services[service]
+        targets = [target for target in self._targets if pool.includes(target)]
+        spec = self._deployment.services[pool.service]
         return broker.update_targets(
             spec, targets, self._evacuated, now_us, self._state_version
         )
@@ -258,12 +402,26 @@
 def _describe_coverage(
     broker: Broker, demand: CoverageDemand, now_us: int
 ) -> str:
+    idle = count_idle(broker.records.values(), now_us)
     return (
         f'kept for {demand.scope}: '
         f'{demand.requests_per_target:.2f} requests a target, '
         f'{demand.unserved_share:.3f} not served, '
         f'recovery {demand.recovery_us} us, '
-        f'{broker.idle_targets(now_us)} of {len(broker.records)} targets idle'
+        f'{idle} of {len(broker.records)} targets idle'
+    )
+
+
+def _has_untried_room(broker: Broker, now_us: int) -> bool:
+    """Tell whether a pool has free slots, and evidence on no target."""
+    service_us = broker.service_time_us
+    records = broker.records.values()
+    is_untried = all(
+        record.status(now_us, service_us) is TargetStatus.UNPROVEN
+        for record in records
+    )
+    return is_untried and any(
+        record.has_free_slot(now_us) for record in records
     )
 
 
--- a/foxtailreach/gateway/fleet_client.py
+++ b/foxtailreach/gateway/fleet_client.py
@@ -15,6 +15,11 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import CustomerSpec
 from foxtailreach.core.dispatch.fleet import FleetNode
+from foxtailreach.core.dispatch.pool_messages import (
+    SlotReferral,
+    SlotScope,
+)
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 
@@ -39,23 +44,32 @@
     messages.SlotGrant
     | messages.SlotQueued
     | messages.SlotRefused
+    | SlotReferral
     | messages.ChargeResult
 )
 REPLY_TYPES = (
     messages.SlotGrant,
     messages.SlotQueued,
     messages.SlotRefused,
+    SlotReferral,
     messages.ChargeResult,
 )
+# Replies after which the broker keeps nothing of a request that got no slot.
+_DECISIONS = (
+    messages.SlotGrant,
+    messages.SlotRefused,
+    SlotReferral,
+)
 Send = Callable[[str, messages.FleetMessage], None]
 
 
 @dataclass(slots=True, frozen=True)
 class GrantedSlot:
-    """A granted slot and the host that granted it."""
+    """A granted slot, its pool and the host that granted it."""
 
     grant: messages.SlotGrant
     broker: str
+    pool: Pool
 
 
 @dataclass(slots=True, frozen=True)
@@ -148,15 +162,47 @@
     ) -> GrantedSlot | messages.SlotRefused:
         """Return a slot for a request, or the refusal.
 
-        `draft` is the request without its `ask_id`, which is set here.
+        `draft` is the request without its `ask_id`, which is set here, for a
+        service; its pool is chosen here. A pool without room may refer the
+        request to another one once.
         """
+        pool = self._node.pool_of(draft.service_name)
+        scope = SlotScope.OWN if pool.domain else SlotScope.FINAL
+        decision = await self._ask_pool(pool, scope, draft, deadline_us)
+        if not isinstance(decision, SlotReferral):
+            return decision
+        other = Pool(pool.service, decision.domain)
+        if decision.is_final:
+            pool = other
+        else:
+            slot = await self._ask_pool(
+                other, SlotScope.OVERFLOW, draft, deadline_us
+            )
+            if isinstance(slot, GrantedSlot):
+                return slot
+        decision = await self._ask_pool(
+            pool, SlotScope.FINAL, draft, deadline_us
+        )
+        assert not isinstance(decision, SlotReferral)
+        return decision
+
+    async def _ask_pool(
+        self,
+        pool: Pool,
+        scope: SlotScope,
+        draft: messages.SlotRequest,
+        deadline_us: int,
+    ) -> GrantedSlot | messages.SlotRefused | SlotReferral:
+        """Ask the brokers of a pool in turn until one decides."""
         ask_id = next(self._ask_ids)
-        request = replace(draft, ask_id=ask_id)
-        for host_id in self._brokers_to_ask(request.service_name):
+        for host_id in self._brokers_to_ask(pool):
             left_us = deadline_us - boot_time_us()
             spent_us = draft.time_left_us - left_us
             request = replace(
-                request,
+                draft,
+                ask_id=ask_id,
+                service_name=pool.name,
+                scope=scope,
                 time_left_us=left_us,
                 objective_left_us=draft.objective_left_us - spent_us,
             )
@@ -164,8 +210,8 @@
             match reply:
                 case messages.SlotGrant():
                     self._held.add(ask_id)
-                    return GrantedSlot(reply, host_id)
-                case messages.SlotRefused():
+                    return GrantedSlot(reply, host_id, pool)
+                case messages.SlotRefused() | SlotReferral():
                     return reply
                 case _:
                     self._node.suspect(host_id, boot_time_us())
@@ -175,8 +221,9 @@
     def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
         """Release a slot; report its outcome to the next broker in rank too."""
         self._held.discard(report.ask_id)
+        report = replace(report, service_name=slot.pool.name)
         self._send_twice(slot.broker, report)
-        ranked = self._node.broker_hosts(report.service_name, boot_time_us())
+        ranked = self._node.broker_hosts(slot.pool, boot_time_us())
         for host_id in ranked[:2]:
             if host_id != slot.broker:
                 self._send(host_id, report)
@@ -194,8 +241,9 @@
 
     def report_over_limit(self, service: str) -> None:
         """Tell the broker that a request was refused by its rate limit."""
-        message = messages.TurnedAway(service)
-        for host_id in self._brokers_to_ask(service)[:1]:
+        pool = self._node.pool_of(service)
+        message = messages.TurnedAway(pool.name)
+        for host_id in self._brokers_to_ask(pool)[:1]:
             self._send(host_id, message)
 
     async def _ask_slot(
@@ -214,7 +262,7 @@
             )
         finally:
             self._pending.pop(key, None)
-            if not isinstance(reply, messages.SlotGrant | messages.SlotRefused):
+            if not isinstance(reply, _DECISIONS):
                 cancel = messages.SlotCancel(
                     request.ask_id,
                     request.service_name,
@@ -311,12 +359,14 @@
             SECOND_COPY_DELAY_S, self._send, host_id, message
         )
 
-    def _brokers_to_ask(self, service: str) -> list[str]:
+    def _brokers_to_ask(self, pool: Pool) -> list[str]:
         now_us = boot_time_us()
         if self._node.is_isolated(now_us):
             return [self._node.host_id]
-        ranked = self._node.broker_hosts(service, now_us)
-        return [*ranked[:MAX_HOSTS_ASKED], self._node.host_id]
+        ranked = self._node.broker_hosts(pool, now_us)[:MAX_HOSTS_ASKED]
+        if pool == self._node.pool_of(pool.service):
+            ranked.append(self._node.host_id)
+        return ranked
 
     def _meters_to_ask(self, customer: str) -> list[str]:
         return self._node.meter_hosts(customer, boot_time_us())
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -27,7 +27,7 @@
   5: i64 time_left_us, 6: i64 objective_left_us, 7: bool is_repeat,
   8: bool may_repeat, 9: i64 fingerprint, 10: list<string> connected,
   11: list<string> excluded, 12: bool is_surplus, 13: string customer,
-  14: i64 request_class, 15: i64 body_bytes
+  14: i64 request_class, 15: i64 body_bytes, 16: string scope
 }
 
 struct SlotGrant {
@@ -39,6 +39,14 @@
 
 struct SlotRefused { 1: i64 ask_id, 2: string cause, 3: i64 retry_after_us }
 
+struct SlotReferral { 1: i64 ask_id, 2: string domain, 3: bool is_final }
+
+struct CrashedTargets { 1: i64 fingerprint, 2: list<string> target_ids }
+
+struct PoolStatus {
+  1: string service_name, 2: i64 spare_slots, 3: list<CrashedTargets> crashes
+}
+
 struct SlotCancel { 1: i64 ask_id, 2: string service_name }
 
 struct SlotCheck { 1: string service_name, 2: list<i64> ask_ids }
@@ -131,5 +139,7 @@
   21: optional MeterCopy meter_copy, 22: optional HostUnknown host_unknown,
   23: optional SlotCheck slot_check,
   24: optional LivenessTable liveness_table,
-  25: optional MeterRequest meter_request
+  25: optional MeterRequest meter_request,
+  26: optional SlotReferral slot_referral,
+  27: optional PoolStatus pool_status
 }
--- a/foxtailreach/tests/dispatch/fleet_replay.py
+++ b/foxtailreach/tests/dispatch/fleet_replay.py
@@ -118,7 +118,8 @@
     rate is its limit only if `is_limited`. A target is healthy and failing by
     turns; while failing, it fails `failing_share` of its requests. With a
     `warm_up_rate_per_s`, all targets warm up during the whole replay. Requests
-    are sent from `SETTLE_S` until `seconds` after the start.
+    are sent from `SETTLE_S` until `seconds` after the start, through hosts of
+    `caller_domain` only, unless it is ''.
     """
 
     hosts: int = 10
@@ -136,6 +137,8 @@
     mean_latency_ms: int = 240
     warm_up_rate_per_s: float = 0
     network: Network = Network()
+    prefers_own_domain: bool = False
+    caller_domain: str = ''
     policy: LimitPolicy = LimitPolicy(5 * SECOND_US, 0.1, 20)
 
     @property
@@ -238,7 +241,11 @@
         self._held: list[Callable[[], None]] = []
         rng = random.Random(replay.rng.random())
         config = FleetConfig(
-            entry, incarnation, RETRY_POLICY, replay.load.policy
+            entry,
+            incarnation,
+            RETRY_POLICY,
+            replay.load.policy,
+            prefers_own_domain=replay.load.prefers_own_domain,
         )
         self.node = FleetNode.from_config(config, rng, replay.now_us())
         self._router = router.MessageRouter(self.node, self.send)
@@ -363,7 +370,8 @@
 
     `arrivals` lists the requests that targets received; `answers` counts what
     callers got: `served`, or the reason of the failure. `sent_s` has the time
-    of each request, `served_ids` those that were served.
+    of each request, `served_ids` those that were served. `remote_messages`
+    counts the messages between failure domains by type.
     """
 
     load: FleetLoad
@@ -376,6 +384,7 @@
     answers: Counter[str] = field(default_factory=Counter)
     sent_s: dict[str, float] = field(default_factory=dict)
     served_ids: set[str] = field(default_factory=set)
+    remote_messages: Counter[str] = field(default_factory=Counter)
     failure_periods: list[list[tuple[float, float]]] = field(
         default_factory=list
     )
@@ -460,6 +469,9 @@
         side = self.partitions.get(sender.entry.host_id, 0)
         if side != self.partitions.get(host_id, 0):
             return
+        receiver = self.hosts.get(host_id)
+        if receiver and receiver.entry.domain != sender.entry.domain:
+            self.remote_messages[type(message).__name__] += 1
         if self.rng.random() < network.lost_share:
             return
         copies = 1 + (self.rng.random() < network.doubled_share)
@@ -633,7 +645,13 @@
         await asyncio.sleep(replay.rng.expovariate(1 / mean_pause_s))
         if replay.elapsed_s() > load.seconds:
             return
-        host_id = replay.rng.choice(sorted(replay.hosts))
+        host_id = replay.rng.choice(
+            sorted(
+                host_id
+                for host_id, host in replay.hosts.items()
+                if load.caller_domain in {'', host.entry.domain}
+            ),
+        )
         host = replay.hosts[host_id]
         replay.sent_s[str(request_id)] = replay.elapsed_s()
         host.run_when_resumed(partial(host.serve, request_id))
--- a/foxtailreach/tests/dispatch/fleet_retry_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_retry_tests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from foxtailreach.core.dispatch.deployment import RequestKind
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.tests.dispatch.fleet_replay import (
     FleetLoad,
     FleetReplay,
@@ -32,7 +33,7 @@
     for _ in range(6):
         await asyncio.sleep(0.4)
         host = next(iter(replay.hosts.values()))
-        brokers = host.node.broker_hosts('svc', replay.now_us())
+        brokers = host.node.broker_hosts(Pool('svc'), replay.now_us())
         await replay.kill(brokers[0], 1.2)
 
 
--- a/foxtailreach/tests/dispatch/fleet_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_tests.py
@@ -14,6 +14,7 @@
 )
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.dispatch.host_messages import Effects
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.tests.dispatch.fixtures import (
     RETRY_POLICY,
@@ -57,13 +58,13 @@
 def test_all_hosts_rank_brokers_alike_until_one_is_suspected() -> None:
     fleet = create_fleet()
     first, second = (
-        node.broker_hosts('svc', START_US) for node in fleet.values()
+        node.broker_hosts(Pool('svc'), START_US) for node in fleet.values()
     )
     assert first == second
     fleet['h1'].suspect(first[0], START_US)
-    assert fleet['h1'].broker_hosts('svc', START_US + 1) == first[1:]
+    assert fleet['h1'].broker_hosts(Pool('svc'), START_US + 1) == first[1:]
     later_us = START_US + 3 * SECOND_US
-    assert fleet['h1'].broker_hosts('svc', later_us) == first
+    assert fleet['h1'].broker_hosts(Pool('svc'), later_us) == first
 
 
 def settle(fleet: dict[str, FleetNode]) -> int:
@@ -237,7 +238,7 @@
     """
     domain_names = ('d1', 'd2', 'd3')
     fleet = create_fleet(domain_names * hosts_per_domain)
-    ranked = fleet['h1'].broker_hosts('svc', START_US)
+    ranked = fleet['h1'].broker_hosts(Pool('svc'), START_US)
     broker = fleet[ranked[0]]
     broker.receive('h1', slot_request(1), START_US)
     later_us = START_US + 3 * SECOND_US
@@ -275,7 +276,7 @@
     holder: str, answers: bool, is_kept: bool
 ) -> None:
     fleet = create_fleet(('d1', 'd1', 'd1'))
-    ranked = fleet['h1'].broker_hosts('svc', START_US)
+    ranked = fleet['h1'].broker_hosts(Pool('svc'), START_US)
     broker = fleet[ranked[0]]
     holder_id = ranked[0] if holder == 'broker' else ranked[1]
     all_slots = range(6)
--- a/foxtailreach/tests/dispatch/target_notices_tests.py
+++ b/foxtailreach/tests/dispatch/target_notices_tests.py
@@ -8,6 +8,7 @@
 
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.broker import Broker
+from foxtailreach.core.dispatch.cover import count_idle
 from foxtailreach.core.dispatch.deployment import RequestKind, TargetSpec
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
 from foxtailreach.core.dispatch.target_notices import (
@@ -262,7 +263,7 @@
                 outcome = SendOutcome.FAILED
             broker.report('h1', slot_report(grant, outcome, 0), now_us)
     assert granted == set(broker.records) - {pausing}
-    assert broker.idle_targets(now_us) < len(broker.records)
+    assert count_idle(broker.records.values(), now_us) < len(broker.records)
 
 
 def test_report_names_what_the_target_has_told() -> None:
--- a/foxtailreach/tests/gateway/fleet_client_tests.py
+++ b/foxtailreach/tests/gateway/fleet_client_tests.py
@@ -9,6 +9,7 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import CustomerSpec
 from foxtailreach.core.dispatch.messages import Admission, SlotReport
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.gateway import fleet_client
 from foxtailreach.tests.dispatch.fixtures import (
@@ -60,7 +61,7 @@
 
     async def scenario() -> None:
         client = fleet_client.FleetClient(create_fleet()['h1'], lose_first)
-        slot = fleet_client.GrantedSlot(grant, 'h2')
+        slot = fleet_client.GrantedSlot(grant, 'h2', Pool('svc'))
         client.report(slot, slot_report(grant))
         await asyncio.sleep(0.2)
 
--- a/foxtailreach/tests/gateway/leaving_target_tests.py
+++ b/foxtailreach/tests/gateway/leaving_target_tests.py
@@ -19,6 +19,7 @@
 )
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.dispatch.target_record import TargetRecord
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import SECOND_US
@@ -70,7 +71,7 @@
         """Return the next slot."""
         if not self.slots:
             return messages.SlotRefused(1, RefusalCause.NO_TARGET, 1000)
-        return GrantedSlot(self.slots.pop(0), 'h2')
+        return GrantedSlot(self.slots.pop(0), 'h2', Pool('svc'))
 
     def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
         """Keep the outcome, and whether the target has told anything."""
--- a/foxtailreach/tests/gateway/proxy_tests.py
+++ b/foxtailreach/tests/gateway/proxy_tests.py
@@ -25,6 +25,7 @@
 )
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.core.verdict import Reason, Verdict
@@ -65,7 +66,7 @@
         if not self._outcomes:
             return messages.SlotRefused(1, RefusalCause.REPEAT_BUDGET, 1000)
         grant = messages.SlotGrant(1, 't0', '10.0.0.1', 8000, 0, 0)
-        return GrantedSlot(grant, 'h1')
+        return GrantedSlot(grant, 'h1', Pool('svc'))
 
     def report(self, slot: GrantedSlot, report: messages.SlotReport) -> None:
         """Ignore the report."""
