Judge long requests by what their target has served since

Cause: where 3% of the requests take 7 times the mean, each of them times out or is overdue, and ejects a healthy target for 2 to 6 s.

Change: a broker learns the share of long requests of each class, counting only those of targets that serve later requests in time. From a share of 2% on, a long, slow or overdue request is evidence against its target only by its log likelihood ratio: long and late requests against those served in time that were sent later. Below that share nothing changes.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -28,19 +28,19 @@
     PlacementState,
     choose_target,
 )
+from foxtailreach.core.dispatch.request_costs import (
+    DEFAULT_SERVICE_TIME_US,
+    RequestCosts,
+)
+from foxtailreach.core.dispatch.tail_rule import TailRule
+from foxtailreach.core.dispatch.target_load import overdue_after_us
 from foxtailreach.core.dispatch.target_notices import TargetNotice
 from foxtailreach.core.dispatch.target_record import (
-    SLOW_FACTOR,
     TargetRecord,
     TargetStatus,
-    overdue_after_us,
 )
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
-# Assumed mean service time until the first answers arrive.
-DEFAULT_SERVICE_TIME_US = 250 * MILLISECOND_US
-# Weight of a new answer in the moving average.
-SERVICE_TIME_GAIN = 0.05
 # A lease expires this long after the request's deadline.
 LEASE_GRACE_US = SECOND_US
 # A fingerprint is quarantined after it crashed this many distinct targets.
@@ -119,7 +119,6 @@
         '_ended',
         '_last_check_us',
         '_leases',
-        '_mean_service_us',
         '_outcomes',
         '_placement',
         '_queue',
@@ -127,7 +126,9 @@
         '_rng',
         '_spec',
         '_state_version',
+        'costs',
         'records',
+        'tail_rule',
     )
 
     def __init__(
@@ -146,7 +147,8 @@
         self._rng = rng
         self._queue = wait_queue.WaitQueue(rng)
         self._retry_budget = RetryBudget(policy)
-        self._mean_service_us = float(DEFAULT_SERVICE_TIME_US)
+        self.costs = RequestCosts()
+        self.tail_rule = TailRule()
         self._placement = PlacementState(
             now_us,
             DEFAULT_SERVICE_TIME_US,
@@ -199,6 +201,7 @@
         listed = {target.target_id: target for target in targets}
         for removed_id in self.records.keys() - listed.keys():
             self.records.pop(removed_id)
+            self.costs.forget_target(removed_id)
         for target_id, target in listed.items():
             record = self.records.get(target_id)
             if record is None:
@@ -529,7 +532,10 @@
         holder = (waiter.host_id, slot_request.ask_id)
         is_probe = lacks_fresh_evidence(record, now_us)
         is_after_failure = has_failed_last(record)
-        record.grant(holder, now_us)
+        estimate = self.costs.estimate(
+            slot_request.request_class, slot_request.body_bytes
+        )
+        record.grant(holder, now_us, estimate)
         if slot_request.is_repeat:
             self._retry_budget.record_retry(now_us)
         else:
@@ -564,19 +570,16 @@
         record.record_notice(notice, now_us)
         if notice and report.outcome in _UNSERVED_BY_NOTICE:
             return
-        is_served = report.outcome is SendOutcome.SERVED
-        is_slow = report.latency_us > SLOW_FACTOR * self._mean_service_us
-        record.record_outcome(
-            report.outcome,
-            host_id,
-            self._spec,
-            now_us - report.latency_us,
-            now_us,
-            is_slow=is_served and is_slow,
-        )
-        if is_served and not record.is_warming_up(now_us):
-            change_us = report.latency_us - self._mean_service_us
-            self._mean_service_us += SERVICE_TIME_GAIN * change_us
+        is_slow = self.tail_rule.apply(record, self.costs, report, now_us)
+        if is_slow is not None:
+            record.record_outcome(
+                report.outcome,
+                host_id,
+                self._spec,
+                now_us - report.latency_us,
+                now_us,
+                is_slow=is_slow,
+            )
         self._record_crash(host_id, report, now_us)
 
     def _record_crash(
@@ -625,7 +628,7 @@
         )
 
     def _service_time_us(self) -> int:
-        return int(self._mean_service_us)
+        return int(self.costs.service_mean_us)
 
     def _queued_reply(
         self,
--- a/foxtailreach/core/dispatch/target_record.py
+++ b/foxtailreach/core/dispatch/target_record.py
@@ -12,6 +12,11 @@
 from foxtailreach.core.dispatch.budgets import TokenBucket
 from foxtailreach.core.dispatch.deployment import ServiceSpec, TargetSpec
 from foxtailreach.core.dispatch.messages import SendOutcome
+from foxtailreach.core.dispatch.request_costs import CostEstimate
+from foxtailreach.core.dispatch.target_load import (
+    TargetLoad,
+    overdue_after_us,
+)
 from foxtailreach.core.dispatch.target_notices import (
     MAX_PAUSE_US,
     TargetNotice,
@@ -37,11 +42,6 @@
 # the target is at fault.
 UNREACHABLE_HOSTS = 2
 UNREACHABLE_WINDOW_US = 3 * SECOND_US
-# A request that runs for this many mean service times ejects its target.
-OVERDUE_FACTOR = 4
-MIN_OVERDUE_US = 900 * MILLISECOND_US
-# An answer is slow if it takes this many mean service times.
-SLOW_FACTOR = 4
 WARM_UP_BURST_REQUESTS = 1.0
 
 
@@ -82,6 +82,7 @@
         'last_failed_us',
         'last_grant_us',
         'last_served_us',
+        'load',
         'paused_until_us',
         'spec',
         'warm_up_until_us',
@@ -96,6 +97,7 @@
         """Create a record without evidence."""
         self.spec = spec
         self.granted: dict[tuple[str, int], int] = {}
+        self.load = TargetLoad()
         self.first_seen_us = now_us
         self.last_served_us = 0
         self.last_failed_us = 0
@@ -131,6 +133,7 @@
             self.is_leaving = False
             self.paused_until_us = 0
             self.granted.clear()
+            self.load.clear()
             self._unreachable_by_host.clear()
         if spec.warm_up_left_us and spec != self.spec:
             until_us = now_us + spec.warm_up_left_us
@@ -188,9 +191,16 @@
             return TargetStatus.PROVEN
         return TargetStatus.UNPROVEN
 
-    def grant(self, holder: tuple[str, int], now_us: int) -> None:
+    def grant(
+        self,
+        holder: tuple[str, int],
+        now_us: int,
+        estimate: CostEstimate | None = None,
+    ) -> None:
         """Assign a slot to a holder until it is released."""
         self.granted[holder] = now_us
+        if estimate is not None:
+            self.load.add(holder, estimate, now_us)
         self.last_grant_us = now_us
         self.is_tried = True
         if self.is_warming_up(now_us):
@@ -198,6 +208,7 @@
 
     def release(self, holder: tuple[str, int]) -> bool:
         """Release a slot; return False if the holder has none."""
+        self.load.remove(holder)
         return self.granted.pop(holder, None) is not None
 
     def record_outcome(
@@ -303,9 +314,6 @@
         if not self.granted:
             return False
         oldest_us = min(self.granted.values())
-        return now_us - oldest_us > overdue_after_us(service_us)
-
-
-def overdue_after_us(service_us: int) -> int:
-    """Return how long a request may run before it is overdue."""
-    return max(MIN_OVERDUE_US, OVERDUE_FACTOR * service_us)
+        if now_us - oldest_us <= overdue_after_us(service_us):
+            return False
+        return self.load.has_overdue(self.granted, service_us, now_us)
--- /dev/null
+++ b/foxtailreach/tests/dispatch/request_costs_tests.py
@@ -0,0 +1,159 @@
+"""Estimates of the cost of requests by class and target."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from foxtailreach.core.dispatch.request_costs import (
+    MAX_CLASSES,
+    MAX_DIGEST_CLASSES,
+    RequestCosts,
+)
+
+CHEAP_US = 64_000
+COSTLY_US = 195_000
+
+
+def record(
+    costs: RequestCosts,
+    request_class: int,
+    latency_us: float,
+    count: int = 1,
+    target: str = 't0',
+) -> None:
+    """Record answers of a class, each with the same service time."""
+    for _ in range(count):
+        costs.record(request_class, 0, int(latency_us), target, 1000)
+
+
+def two_classes(targets: int = 5) -> RequestCosts:
+    """Learn two classes that differ by a factor of three."""
+    costs = RequestCosts()
+    for index in range(200):
+        record(costs, 1, CHEAP_US, target=f't{index % targets}')
+        record(costs, 2, COSTLY_US, target=f't{index % targets}')
+    return costs
+
+
+def test_classes_have_their_own_means() -> None:
+    costs = two_classes()
+    assert costs.is_active
+    assert costs.estimate(1, 0).mean_us == pytest.approx(CHEAP_US, rel=0.05)
+    assert costs.estimate(2, 0).mean_us == pytest.approx(COSTLY_US, rel=0.05)
+    assert costs.estimate(3, 0).mean_us == int(costs.service_mean_us)
+
+
+@pytest.mark.parametrize(
+    ('means_us', 'weights', 'tail_share', 'is_active'),
+    [
+        ((200_000,), (1,), 0, False),
+        ((200_000, 250_000), (1, 1), 0, False),
+        ((200_000, 600_000), (1, 1), 0, True),
+        ((200_000, 600_000), (100, 1), 0, False),
+        ((200_000,), (1,), 0.01, False),
+        ((200_000,), (1,), 0.04, True),
+    ],
+    ids=['one', 'alike', 'different', 'rare', 'short-tail', 'tail'],
+)
+def test_estimates_are_used_only_where_called_for(
+    means_us: tuple[int, ...],
+    weights: tuple[int, ...],
+    tail_share: float,
+    is_active: bool,
+) -> None:
+    """Guards against changed placement in loads of equal requests."""
+    costs = RequestCosts()
+    rng = random.Random(1)
+    for _ in range(4000):
+        chosen = rng.choices(range(len(means_us)), weights)[0]
+        latency_us = int(means_us[chosen] * rng.gammavariate(4, 0.25))
+        if rng.random() < tail_share:
+            costs.record_long(chosen + 1, 0, 7 * means_us[chosen])
+        else:
+            record(costs, chosen + 1, latency_us)
+    assert costs.is_active is is_active
+
+
+@pytest.mark.parametrize('factor', [0.5, 2])
+@pytest.mark.parametrize('targets', [1, 20])
+def test_twofold_change_is_tracked_within_20_answers(
+    factor: float, targets: int
+) -> None:
+    costs = two_classes(targets)
+    for index in range(20):
+        target = f't{index % targets}'
+        record(costs, 1, factor * CHEAP_US, target=target)
+    mean_us = costs.estimate(1, 0).mean_us
+    assert mean_us == pytest.approx(factor * CHEAP_US, rel=0.3)
+
+
+def test_outlier_moves_an_estimate_by_a_bounded_amount() -> None:
+    costs = two_classes()
+    before_us = costs.estimate(1, 0).mean_us
+    costs.record_long(1, 0, 1000 * CHEAP_US)
+    assert costs.estimate(1, 0).mean_us <= 1.31 * before_us
+
+
+def test_slow_target_and_costly_class_are_told_apart() -> None:
+    """One target of five takes twice as long, and gets most costly requests."""
+    costs = RequestCosts()
+    rng = random.Random(3)
+    for _ in range(2000):
+        target = rng.randrange(5)
+        is_costly = rng.random() < (0.8 if target == 0 else 0.3)
+        latency_us = COSTLY_US if is_costly else CHEAP_US
+        latency_us *= 2 if target == 0 else 1
+        record(costs, 2 if is_costly else 1, latency_us, 1, f't{target}')
+    usual = [costs.slowness(f't{target}') for target in range(1, 5)]
+    assert costs.slowness('t0') / max(usual) == pytest.approx(2, rel=0.2)
+    ratio = costs.estimate(2, 0).mean_us / costs.estimate(1, 0).mean_us
+    assert ratio == pytest.approx(COSTLY_US / CHEAP_US, rel=0.2)
+
+
+def test_classes_are_bounded_and_the_oldest_is_evicted() -> None:
+    """A configuration may have any number of routes."""
+    costs = two_classes()
+    for request_class in range(10, 10 + MAX_CLASSES - 1):
+        record(costs, 2, COSTLY_US)
+        record(costs, request_class, CHEAP_US)
+    assert costs.known_classes == MAX_CLASSES
+    assert costs.estimate(1, 0).answer_bytes == 0
+    assert costs.estimate(2, 0).answer_bytes > 0
+    assert len(costs.digest()) == MAX_DIGEST_CLASSES
+
+
+def test_large_bodies_are_a_class_of_their_own() -> None:
+    costs = two_classes()
+    for _ in range(30):
+        costs.record(1, 60_000, 10 * CHEAP_US, 't0', 0)
+    assert costs.estimate(1, 60_000).mean_us > 5 * CHEAP_US
+    assert costs.estimate(1, 200_000) == costs.estimate(1, 60_000)
+    assert costs.estimate(1, 0).mean_us < 1.5 * CHEAP_US
+
+
+def test_next_broker_takes_over_the_estimates() -> None:
+    """The digest is also merged again and again while the broker is idle."""
+    costs = two_classes()
+    for _ in range(20):
+        costs.record_long(2, 0, 7 * COSTLY_US)
+    follower = RequestCosts()
+    for _ in range(3):
+        follower.merge(costs.digest())
+    assert follower.is_active
+    for request_class in (1, 2):
+        known = costs.estimate(request_class, 0)
+        taken = follower.estimate(request_class, 0)
+        assert taken.mean_us == known.mean_us
+        assert taken.tail_share == pytest.approx(known.tail_share, abs=0.01)
+
+
+def test_broker_keeps_estimates_of_classes_that_it_serves() -> None:
+    """Two brokers of a service may work at once while links are cut."""
+    costs = two_classes()
+    record(costs, 1, CHEAP_US, 10)
+    other = RequestCosts()
+    record(other, 1, 10 * CHEAP_US, 100)
+    costs.merge(other.digest())
+    assert costs.estimate(1, 0).mean_us == pytest.approx(CHEAP_US, rel=0.05)
