Refuse requests as soon as the work ahead shows that they cannot be served

Cause: a request could wait for 60% of its remaining time and was refused then, although the work ahead of it was known on arrival. The queue was sorted at each event with a Python call for each request, and its length was not bounded.

Change: the queue is kept in order per rank and customer. A request is refused on arrival if the work ahead of it by rank, over the slots of targets that are not ejected and less the recent inflow of better ranks, leaves too little time until its deadline. Waiting requests are checked again at each tick. At most 4,096 requests wait; the last in rank is refused beyond that. A pass over the queue skips requests like one that no target suited, and ends after 64. Refusals are built in a module of their own.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from foxtailreach.core.crashes import CrashTracker
-from foxtailreach.core.dispatch import messages, wait_queue
+from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.budgets import RetryBudget, RetryPolicy
 from foxtailreach.core.dispatch.cover import (
     IN_USE_WINDOW_US,
@@ -23,11 +23,17 @@
 from foxtailreach.core.dispatch.deployment import ServiceSpec, TargetSpec
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
 from foxtailreach.core.dispatch.mirror import NO_VERSION
+from foxtailreach.core.dispatch.passed_over import PassedOver
 from foxtailreach.core.dispatch.placement import (
     PlacementRequest,
     PlacementState,
     choose_target,
 )
+from foxtailreach.core.dispatch.refusals import (
+    OverloadInputs,
+    Refusals,
+    count_room,
+)
 from foxtailreach.core.dispatch.target_notices import TargetNotice
 from foxtailreach.core.dispatch.target_record import (
     SLOW_FACTOR,
@@ -35,6 +41,8 @@
     TargetStatus,
     overdue_after_us,
 )
+from foxtailreach.core.dispatch.wait_queue import WaitQueue
+from foxtailreach.core.dispatch.waiter import Waiter
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
 # Assumed mean service time until the first answers arrive.
@@ -124,10 +132,10 @@
         '_placement',
         '_queue',
         '_retry_budget',
-        '_rng',
         '_spec',
         '_state_version',
         'records',
+        'refusals',
     )
 
     def __init__(
@@ -143,8 +151,8 @@
         self.records: dict[str, TargetRecord] = {}
         self._spec = spec
         self._state_version = NO_VERSION
-        self._rng = rng
-        self._queue = wait_queue.WaitQueue(rng)
+        self._queue = WaitQueue(now_us)
+        self.refusals = Refusals(rng)
         self._retry_budget = RetryBudget(policy)
         self._mean_service_us = float(DEFAULT_SERVICE_TIME_US)
         self._placement = PlacementState(
@@ -233,7 +241,7 @@
             return []
         if self._crashes.is_quarantined(request.fingerprint):
             return [
-                self._refuse(
+                self.refusals.refuse(
                     host_id,
                     request,
                     RefusalCause.QUARANTINED,
@@ -244,9 +252,8 @@
             now_us, self._queue.count_retries()
         ):
             cause = RefusalCause.REPEAT_BUDGET
-            return [
-                self._refuse(host_id, request, cause, self._service_time_us()),
-            ]
+            wait_us = self._service_time_us()
+            return [self.refusals.refuse(host_id, request, cause, wait_us)]
         return self._admit(host_id, domain, request, now_us)
 
     def report(
@@ -288,7 +295,7 @@
 
     def cancel(self, host_id: str, ask_id: int, now_us: int) -> Effects:
         """Remove a request from the queue or release its slot."""
-        self._queue.remove(host_id, ask_id)
+        self._queue.remove(host_id, ask_id, now_us)
         holder = (host_id, ask_id)
         if holder not in self._ended:
             self._ended[holder] = EndedRequest(now_us, is_reported=False)
@@ -357,10 +364,12 @@
         for holder in expired:
             self._release(*holder)
         new_effects: Effects = []
-        for waiter in self._queue.pop_expired(now_us):
-            self._outcomes.record_request(now_us, is_served=False)
-            new_effects.append(
-                self._refuse_overload(waiter.host_id, waiter.slot_request),
+        self._queue.tick(now_us)
+        if len(self._queue):
+            room = self._room(now_us)
+            new_effects.extend(
+                self._refuse_overload(waiter, room, now_us)
+                for waiter in self._queue.pop_hopeless(room, now_us)
             )
         new_effects.extend(self._check_overdue_slots(now_us))
         return [*new_effects, *self._serve_queue(now_us)]
@@ -403,24 +412,22 @@
         pause_us = self._pause_left_us(now_us)
         if pause_us:
             self._outcomes.record_request(now_us, is_served=False)
-            return [self._refuse_paused(host_id, request, pause_us)]
-        if not self._usable_slots(now_us):
+            return [self.refusals.refuse_paused(host_id, request, pause_us)]
+        if not self._accepts_requests(now_us):
             cause = RefusalCause.NO_TARGET
-            wait_us = wait_queue.MIN_RETRY_AFTER_US
-            self._outcomes.record_request(now_us, is_served=False)
-            return [self._refuse(host_id, request, cause, wait_us)]
-        wait_us = 0
-        if len(self._queue):
-            wait_us = self._expected_wait_us(request.priority, now_us)
-        if wait_queue.cannot_finish_in_time(
-            request,
-            wait_us,
-            self._service_time_us(),
-        ):
             self._outcomes.record_request(now_us, is_served=False)
-            return [self._refuse_overload(host_id, request)]
-        self._queue.add(host_id, domain, request, now_us)
-        new_effects = self._serve_queue(now_us)
+            return [self.refusals.refuse(host_id, request, cause)]
+        work_us = self._expected_work_us(request)
+        waiter = self._queue.prepare(host_id, domain, request, work_us, now_us)
+        room = self._room(now_us) if len(self._queue) else 0
+        if self._queue.is_hopeless(waiter, room, now_us):
+            return [self._refuse_overload(waiter, room, now_us)]
+        self._queue.add(waiter, now_us)
+        new_effects = [
+            self._refuse_overload(excess, room, now_us)
+            for excess in self._queue.pop_excess(now_us)
+        ]
+        new_effects.extend(self._serve_queue(now_us))
         if (host_id, request.ask_id) in self._queue:
             new_effects.append(self._queued_reply(host_id, request))
         return new_effects
@@ -436,20 +443,30 @@
         state.busy_slots = len(self._leases)
         state.demand = self.coverage(now_us)
         new_effects: Effects = []
-        for waiter in self._queue.ordered(now_us, self._service_time_us()):
-            if not self._has_free_slot(now_us):
-                break
-            placement_request = self._placement_request(waiter, now_us)
-            record = choose_target(
-                self.records.values(),
-                placement_request,
-                state,
-                now_us,
-            )
+        if not self._has_free_slot(now_us):
+            return new_effects
+        passed_over = PassedOver()
+        for waiter in self._queue.ordered(now_us):
+            record = self._choose_target(waiter, passed_over, now_us)
             if record is not None:
                 new_effects.append(self._grant(waiter, record, now_us))
+            if passed_over.is_full or not self._has_free_slot(now_us):
+                break
         return new_effects
 
+    def _choose_target(
+        self, waiter: Waiter, passed_over: PassedOver, now_us: int
+    ) -> TargetRecord | None:
+        request = self._placement_request(waiter, now_us)
+        record = None
+        if not passed_over.covers(request):
+            record = choose_target(
+                self.records.values(), request, self._placement, now_us
+            )
+        if record is None:
+            passed_over.add(request)
+        return record
+
     def _pause_left_us(self, now_us: int) -> int:
         """Return the time until the first target ends its pause.
 
@@ -467,28 +484,18 @@
     def _refuse_waiting(self, pause_us: int, now_us: int) -> Effects:
         """Refuse all waiting requests, as all targets pause."""
         new_effects: Effects = []
-        for waiter in self._queue.pop_all():
+        for waiter in self._queue.pop_all(now_us):
             self._outcomes.record_request(now_us, is_served=False)
             new_effects.append(
-                self._refuse_paused(
+                self.refusals.refuse_paused(
                     waiter.host_id, waiter.slot_request, pause_us
                 ),
             )
         return new_effects
 
-    def _refuse_paused(
-        self, host_id: str, request: messages.SlotRequest, pause_us: int
-    ) -> messages.SendHost:
-        refusal = messages.SlotRefused(
-            request.ask_id,
-            RefusalCause.PAUSED,
-            wait_queue.spread_after_pause_us(pause_us, self._rng),
-        )
-        return messages.SendHost(host_id, refusal)
-
     def _placement_request(
         self,
-        waiter: wait_queue.Waiter,
+        waiter: Waiter,
         now_us: int,
     ) -> PlacementRequest:
         slot_request = waiter.slot_request
@@ -512,12 +519,12 @@
 
     def _grant(
         self,
-        waiter: wait_queue.Waiter,
+        waiter: Waiter,
         record: TargetRecord,
         now_us: int,
     ) -> messages.SendHost:
         slot_request = waiter.slot_request
-        self._queue.remove(waiter.host_id, slot_request.ask_id)
+        self._queue.remove(waiter.host_id, slot_request.ask_id, now_us)
         is_proven = (
             record.status(now_us, self._service_time_us())
             is TargetStatus.PROVEN
@@ -609,24 +616,29 @@
         if record is not None:
             record.release((host_id, ask_id))
 
-    def _usable_slots(self, now_us: int) -> int:
-        return sum(
+    def _accepts_requests(self, now_us: int) -> bool:
+        return any(
             record.spec.slots
+            and record.accepts_work
+            and not record.is_paused(now_us)
             for record in self.records.values()
-            if record.accepts_work and not record.is_paused(now_us)
         )
 
-    def _expected_wait_us(self, priority: int, now_us: int) -> int:
-        slots = self._usable_slots(now_us)
-        return self._queue.expected_wait_us(
-            priority,
-            slots,
+    def _room(self, now_us: int) -> int:
+        return count_room(
+            self.records.values(),
             self._service_time_us(),
+            now_us,
+            is_sole=self._placement.is_sole,
         )
 
     def _service_time_us(self) -> int:
         return int(self._mean_service_us)
 
+    def _expected_work_us(self, request: messages.SlotRequest) -> int:
+        """Return the expected service time of a request."""
+        return self._service_time_us()
+
     def _queued_reply(
         self,
         host_id: str,
@@ -638,28 +650,24 @@
         )
 
     def _refuse_overload(
-        self,
-        host_id: str,
-        request: messages.SlotRequest,
+        self, waiter: Waiter, room: int, now_us: int
     ) -> messages.SendHost:
-        slots = sum(record.spec.slots for record in self.records.values())
-        wait_us = self._queue.expected_wait_us(
-            request.priority,
-            slots,
-            self._service_time_us(),
+        self._outcomes.record_request(now_us, is_served=False)
+        slot_request = waiter.slot_request
+        customer = slot_request.customer
+        queue = self._queue
+        inputs = OverloadInputs(
+            customer=customer,
+            priority=slot_request.priority,
+            wait_us=queue.wait_us(waiter, max(1, room), now_us),
+            work_us=waiter.work_us,
+            queued_work_us=queue.work_us,
+            room=room,
+            share=queue.shares.share(customer),
+        )
+        return self.refusals.refuse_overload(
+            waiter.host_id, slot_request, inputs
         )
-        return self._refuse(host_id, request, RefusalCause.OVERLOAD, wait_us)
-
-    def _refuse(
-        self,
-        host_id: str,
-        request: messages.SlotRequest,
-        cause: RefusalCause,
-        wait_us: int,
-    ) -> messages.SendHost:
-        retry_after_us = self._queue.retry_after_us(wait_us)
-        refusal = messages.SlotRefused(request.ask_id, cause, retry_after_us)
-        return messages.SendHost(host_id, refusal)
 
 
 def _age_us(timestamp_us: int, now_us: int) -> int:
--- /dev/null
+++ b/foxtailreach/core/dispatch/refusals.py
@@ -0,0 +1,130 @@
+"""Builds the refusals of one broker, and counts them by cause."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from foxtailreach.core.dispatch import messages
+from foxtailreach.core.dispatch.messages import RefusalCause
+from foxtailreach.core.dispatch.target_record import TargetRecord, TargetStatus
+from foxtailreach.core.units import MILLISECOND_US, SECOND_US
+
+MIN_RETRY_AFTER_US = 200 * MILLISECOND_US
+MAX_RETRY_AFTER_US = 5 * SECOND_US
+# Jitter: adds up to half of the retry delay.
+RETRY_SPREAD = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class OverloadInputs:
+    """What a refusal for lack of capacity was decided by.
+
+    `wait_us` is the expected wait until a start, `work_us` the expected
+    service time, `room` the number of slots to count on, `share` that of the
+    customer in the recent use of slots.
+    """
+
+    customer: str
+    priority: int
+    wait_us: int
+    work_us: int
+    queued_work_us: int
+    room: int
+    share: float
+
+
+class Refusals:
+    """Refuses requests of one service.
+
+    `counts` are the refusals by cause; `last_overload` has the inputs of the
+    newest refusal for lack of capacity.
+    """
+
+    __slots__ = ('_rng', 'counts', 'last_overload')
+
+    def __init__(self, rng: random.Random) -> None:
+        """Create the counts; `rng` draws the jitter of retries."""
+        self._rng = rng
+        self.counts: Counter[RefusalCause] = Counter()
+        self.last_overload: OverloadInputs | None = None
+
+    def refuse(
+        self,
+        host_id: str,
+        request: messages.SlotRequest,
+        cause: RefusalCause,
+        wait_us: int = MIN_RETRY_AFTER_US,
+    ) -> messages.SendHost:
+        """Refuse a request; its caller should retry after about `wait_us`."""
+        base_us = min(MAX_RETRY_AFTER_US, max(MIN_RETRY_AFTER_US, wait_us))
+        retry_after_us = int(base_us * (1 + RETRY_SPREAD * self._rng.random()))
+        return self._send(host_id, request, cause, retry_after_us)
+
+    def refuse_overload(
+        self,
+        host_id: str,
+        request: messages.SlotRequest,
+        inputs: OverloadInputs,
+    ) -> messages.SendHost:
+        """Refuse a request for lack of capacity."""
+        self.last_overload = inputs
+        return self.refuse(
+            host_id, request, RefusalCause.OVERLOAD, inputs.wait_us
+        )
+
+    def refuse_paused(
+        self, host_id: str, request: messages.SlotRequest, pause_us: int
+    ) -> messages.SendHost:
+        """Refuse a request as all targets pause for `pause_us`."""
+        retry_after_us = spread_after_pause_us(pause_us, self._rng)
+        return self._send(host_id, request, RefusalCause.PAUSED, retry_after_us)
+
+    def _send(
+        self,
+        host_id: str,
+        request: messages.SlotRequest,
+        cause: RefusalCause,
+        retry_after_us: int,
+    ) -> messages.SendHost:
+        self.counts[cause] += 1
+        refusal = messages.SlotRefused(request.ask_id, cause, retry_after_us)
+        return messages.SendHost(host_id, refusal)
+
+
+def spread_after_pause_us(pause_us: int, rng: random.Random) -> int:
+    """Return the delay after which a caller should retry after a pause.
+
+    Callers return one after the other from the end of the pause on.
+    """
+    spread_us = min(MAX_RETRY_AFTER_US, int(RETRY_SPREAD * pause_us))
+    return pause_us + int(rng.random() * max(MIN_RETRY_AFTER_US, spread_us))
+
+
+def count_room(
+    records: Iterable[TargetRecord],
+    service_us: int,
+    now_us: int,
+    *,
+    is_sole: bool = True,
+) -> int:
+    """Count the slots that waiting requests can rely on.
+
+    Load pattern: 30% of the targets fail most of their requests, and placement
+    uses those as a last resort. Their slots count only if there are no others.
+    """
+    room = 0
+    last_resort = 0
+    for record in records:
+        if not record.accepts_work or record.is_paused(now_us):
+            continue
+        slots = record.spec.slots
+        if record.is_warming_up(now_us):
+            slots = max(1, slots // 2) if is_sole else 0
+        if record.status(now_us, service_us) is TargetStatus.EJECTED:
+            last_resort += slots
+        else:
+            room += slots
+    return room or last_resort
