Share slots between customers of the same rank by their recent use

Cause: within a priority, requests were served by age, so that a customer at eight times its usual rate delayed all others of its rank.

Change: among requests of the same rank, the customer with the lowest recent use of slots comes first. Use is slot time that decays within 2.5 s; it is charged with the expected service time at the grant and corrected when the slot is released. Customers without a queued or running request are forgotten after 10 s. As requests of other customers may overtake a waiting one, its expected wait on arrival is multiplied by a margin per priority and customer that late refusals raise.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -270,6 +270,7 @@
         if holder in self._ended and self._ended[holder].is_reported:
             return []
         lease = self._leases.pop(holder, None)
+        self._queue.finish(holder, now_us)
         self._ended[holder] = EndedRequest(now_us, is_reported=True)
         record = self.records.get(report.target_id)
         if record is not None:
@@ -299,7 +300,7 @@
         holder = (host_id, ask_id)
         if holder not in self._ended:
             self._ended[holder] = EndedRequest(now_us, is_reported=False)
-        self._release(host_id, ask_id)
+        self._release(host_id, ask_id, now_us)
         return self._serve_queue(now_us)
 
     def oldest_grants(self) -> dict[str, int]:
@@ -317,7 +318,7 @@
         """
         holders = [holder for holder in self._leases if holder[0] == host_id]
         for holder in holders:
-            self._release(*holder)
+            self._release(*holder, now_us)
             self._outcomes.record_request(now_us, is_served=False)
         return self._serve_queue(now_us)
 
@@ -362,7 +363,7 @@
             if lease.expires_us <= now_us
         ]
         for holder in expired:
-            self._release(*holder)
+            self._release(*holder, now_us)
         new_effects: Effects = []
         self._queue.tick(now_us)
         if len(self._queue):
@@ -420,7 +421,8 @@
         work_us = self._expected_work_us(request)
         waiter = self._queue.prepare(host_id, domain, request, work_us, now_us)
         room = self._room(now_us) if len(self._queue) else 0
-        if self._queue.is_hopeless(waiter, room, now_us):
+        wait_us = self._queue.expected_wait_us(waiter, room, now_us)
+        if now_us + wait_us > waiter.last_start_us:
             return [self._refuse_overload(waiter, room, now_us)]
         self._queue.add(waiter, now_us)
         new_effects = [
@@ -524,7 +526,6 @@
         now_us: int,
     ) -> messages.SendHost:
         slot_request = waiter.slot_request
-        self._queue.remove(waiter.host_id, slot_request.ask_id, now_us)
         is_proven = (
             record.status(now_us, self._service_time_us())
             is TargetStatus.PROVEN
@@ -537,6 +538,7 @@
         is_probe = lacks_fresh_evidence(record, now_us)
         is_after_failure = has_failed_last(record)
         record.grant(holder, now_us)
+        self._queue.start(waiter, now_us)
         if slot_request.is_repeat:
             self._retry_budget.record_retry(now_us)
         else:
@@ -608,7 +610,8 @@
             case _:
                 return
 
-    def _release(self, host_id: str, ask_id: int) -> None:
+    def _release(self, host_id: str, ask_id: int, now_us: int) -> None:
+        self._queue.finish((host_id, ask_id), now_us)
         known = self._leases.pop((host_id, ask_id), None)
         if known is None:
             return
--- a/foxtailreach/core/dispatch/wait_queue.py
+++ b/foxtailreach/core/dispatch/wait_queue.py
@@ -16,6 +16,10 @@
 import heapq
 from collections.abc import Iterator
 
+from foxtailreach.core.dispatch.admission_margin import (
+    AdmissionMargins,
+    MarginKey,
+)
 from foxtailreach.core.dispatch.fair_shares import (
     SPARE_ENTRIES,
     FairShares,
@@ -39,6 +43,7 @@
     __slots__ = (
         '_inflow',
         '_late_heap',
+        '_margins',
         '_ranks',
         '_retries',
         '_sequence',
@@ -52,6 +57,7 @@
         self.shares = FairShares(now_us)
         self.work_us = 0
         self._inflow = Inflow(now_us)
+        self._margins = AdmissionMargins()
         self._waiters: dict[Holder, Waiter] = {}
         self._ranks: dict[Rank, RankQueue] = {}
         self._retries = 0
@@ -110,11 +116,13 @@
         self._take_out(waiter, now_us)
         return True
 
-    def start(
-        self, holder: Holder, customer: str, work_us: int, now_us: int
-    ) -> None:
-        """Charge a customer with a request that got a slot."""
-        self.shares.start(holder, customer, work_us, now_us)
+    def start(self, waiter: Waiter, now_us: int) -> None:
+        """Remove a request that got a slot, and charge its customer."""
+        self._pop(waiter, now_us)
+        if now_us > waiter.enqueued_us:
+            self._margins.record_granted(_margin_key(waiter), now_us)
+        customer = waiter.slot_request.customer
+        self.shares.start(_holder(waiter), customer, waiter.work_us, now_us)
         self._refresh(customer, now_us)
 
     def finish(self, holder: Holder, now_us: int) -> None:
@@ -160,6 +168,13 @@
         ahead_us = self._ahead_us(waiter, waiter.rank, now_us)
         return (ahead_us + waiter.work_us) // room
 
+    def expected_wait_us(self, waiter: Waiter, room: int, now_us: int) -> int:
+        """Estimate how long a new request waits, with a margin."""
+        if not room or not self.work_us:
+            return 0
+        factor = self._margins.factor(_margin_key(waiter), now_us)
+        return int(factor * self.wait_us(waiter, room, now_us))
+
     def is_hopeless(self, waiter: Waiter, room: int, now_us: int) -> bool:
         """Tell whether a request cannot be answered by its deadline."""
         if now_us > waiter.last_start_us:
@@ -187,6 +202,7 @@
                 if self.is_hopeless(waiter, room, now_us):
                     removed.append(waiter)
                     self._pop(waiter, now_us)
+                    self._margins.record_refused(_margin_key(waiter), now_us)
         return removed
 
     def pop_excess(self, now_us: int) -> list[Waiter]:
@@ -207,6 +223,7 @@
     def tick(self, now_us: int) -> None:
         """Forget the use of customers that sent nothing for a while."""
         self.shares.forget(now_us, keep=self._has_queued)
+        self._margins.forget(now_us)
         if self.shares.rescale(now_us):
             for ranked in self._ranks.values():
                 ranked.rebuild(now_us)
@@ -285,6 +302,12 @@
     return waiter.host_id, waiter.slot_request.ask_id
 
 
+def _margin_key(waiter: Waiter) -> MarginKey:
+    slot_request = waiter.slot_request
+    customer = slot_request.customer
+    return slot_request.is_surplus, slot_request.priority, customer
+
+
 def _late_rank(waiter: Waiter) -> Rank:
     slot_request = waiter.slot_request
     return slot_request.is_surplus, True, slot_request.priority
--- a/foxtailreach/tests/dispatch/wait_queue_tests.py
+++ b/foxtailreach/tests/dispatch/wait_queue_tests.py
@@ -211,8 +211,7 @@
         started_s = time.process_time()
         waiter = next(queue.ordered(now_us))
         request = waiter.slot_request
-        queue.remove('h1', request.ask_id, now_us)
-        queue.start(('h1', request.ask_id), request.customer, WORK_US, now_us)
+        queue.start(waiter, now_us)
         arrived = slot_request(ask_id, customer=request.customer)
         new = queue.prepare('h1', 'd1', arrived, WORK_US, now_us)
         queue.is_hopeless(new, 40, now_us)
