--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -334,6 +334,10 @@
                     _timestamp_us(entry.served_age_us, now_us),
                     _timestamp_us(entry.failed_age_us, now_us),
                 )
+                self.costs.merge_slowness(
+                    entry.target_id, entry.slowness_permille
+                )
+        self.costs.merge(digest.costs)
 
     def digest(self, now_us: int) -> messages.EvidenceDigest:
         """Return the evidence for hosts that may replace this broker."""
@@ -342,11 +346,14 @@
                 target_id,
                 _age_us(record.last_served_us, now_us),
                 _age_us(record.last_failed_us, now_us),
+                self.costs.slowness_permille(target_id),
             )
             for target_id, record in self.records.items()
             if record.is_tried
         )
-        return messages.EvidenceDigest(self._spec.name, entries)
+        return messages.EvidenceDigest(
+            self._spec.name, entries, self.costs.digest()
+        )
 
     def tick(self, now_us: int) -> Effects:
         """Expire leases and waiting requests, then serve the queue."""
@@ -415,14 +422,18 @@
         wait_us = 0
         if len(self._queue):
             wait_us = self._expected_wait_us(request.priority, now_us)
+        estimate = self.costs.class_estimate(
+            request.request_class, request.body_bytes
+        )
+        expected_us = 0 if estimate is None else estimate.mean_us
         if wait_queue.cannot_finish_in_time(
             request,
             wait_us,
-            self._service_time_us(),
+            expected_us or self._service_time_us(),
         ):
             self._outcomes.record_request(now_us, is_served=False)
             return [self._refuse_overload(host_id, request)]
-        self._queue.add(host_id, domain, request, now_us)
+        self._queue.add(host_id, domain, request, now_us, expected_us)
         new_effects = self._serve_queue(now_us)
         if (host_id, request.ask_id) in self._queue:
             new_effects.append(self._queued_reply(host_id, request))
--- a/foxtailreach/core/dispatch/request_costs.py
+++ b/foxtailreach/core/dispatch/request_costs.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from foxtailreach.core.dispatch.messages import ClassCost
@@ -140,15 +140,17 @@
 class _TargetFactor:
     """Service time of a target, relative to the estimates of the classes."""
 
-    __slots__ = ('answers', 'factor')
+    __slots__ = ('answers', 'factor', 'own_answers')
 
-    def __init__(self, factor: float = 1, answers: int = 0) -> None:
-        self.factor = factor
-        self.answers = answers
+    def __init__(self) -> None:
+        self.factor = 1.0
+        self.answers = 0
+        self.own_answers = 0
 
     def record(self, ratio: float) -> None:
         """Update the factor with the ratio of an answer."""
         self.answers += 1
+        self.own_answers += 1
         weight = 1 / (self.answers + TARGET_PRIOR_ANSWERS)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
         self.factor += max(TARGET_GAIN, weight) * (ratio - self.factor)
@@ -203,6 +205,14 @@
             int(entry.answer_bytes),
         )
 
+    def class_estimate(
+        self, request_class: int, body_bytes: int
+    ) -> CostEstimate | None:
+        """Return the estimate; None if the mean holds for all requests."""
+        if not self.is_active:
+            return None
+        return self.estimate(request_class, body_bytes)
+
     def record(
         self,
         request_class: int,
@@ -250,7 +260,12 @@
         self._targets.pop(target_id, None)
 
     def digest(self) -> tuple[ClassCost, ...]:
-        """Return the estimates of the classes with the most work."""
+        """Return the estimates of the classes with the most work.
+
+        None are returned unless they are called for.
+        """
+        if not self.is_active:
+            return ()
         busiest = sorted(
             self._classes.items(),
             key=lambda known: known[1].work_us,
@@ -269,16 +284,18 @@
         )
 
     def slowness_permille(self, target_id: str) -> int:
-        """Return the slowness for a digest; 0 if it is not known."""
-        if target_id not in self._targets:
+        """Return the slowness for a digest; 0 if it is not known or used."""
+        if not self.is_active or target_id not in self._targets:
             return 0
         return round(PERMILLE * self.slowness(target_id))
 
-    def merge(self, costs: Iterable[ClassCost]) -> None:
+    def merge(self, costs: Sequence[ClassCost]) -> None:
         """Take over the estimates of another broker.
 
         Those of classes that this broker serves itself stay as they are.
         """
+        if not costs:
+            return
         requests = 0
         tails = 0.0
         for cost in costs:
@@ -296,11 +313,14 @@
         self._review()
 
     def merge_slowness(self, target_id: str, slowness_permille: int) -> None:
-        """Take over the slowness of a target that is not known here."""
-        if slowness_permille and target_id not in self._targets:
-            self._targets[target_id] = _TargetFactor(
-                self._common_factor * slowness_permille / PERMILLE
-            )
+        """Take over the slowness of a target that is not used here."""
+        if not slowness_permille:
+            return
+        target = self._targets.setdefault(target_id, _TargetFactor())
+        if target.own_answers < MIN_OWN_ANSWERS:
+            slowness = slowness_permille / PERMILLE
+            target.factor = self._common_factor * slowness
+        target.own_answers = 0
 
     def _touch(self, request_class: int, body_bytes: int) -> _ClassEntry:
         """Return the entry of a class, as the one that was used last."""
--- a/foxtailreach/core/dispatch/wait_queue.py
+++ b/foxtailreach/core/dispatch/wait_queue.py
@@ -29,7 +29,10 @@
 
 @dataclass(slots=True, eq=False)
 class Waiter:
-    """A queued request, and when it expires or becomes late."""
+    """A queued request, and when it expires or becomes late.
+
+    `service_us` is its expected service time; 0 stands for the mean.
+    """
 
     host_id: str
     domain: str
@@ -37,10 +40,11 @@
     enqueued_us: int
     expires_us: int
     objective_us: int
+    service_us: int = 0
 
     def rank(self, now_us: int, service_us: int) -> Rank:
         """Return the sort key; the smallest is served first."""
-        is_late = now_us + service_us > self.objective_us
+        is_late = now_us + (self.service_us or service_us) > self.objective_us
         slot_request = self.slot_request
         return (
             slot_request.is_surplus,
@@ -74,6 +78,7 @@
         domain: str,
         slot_request: SlotRequest,
         now_us: int,
+        service_us: int = 0,
     ) -> Waiter:
         """Queue a request for at most `MAX_WAIT_SHARE` of its time left."""
         waiter = Waiter(
@@ -83,6 +88,7 @@
             enqueued_us=now_us,
             expires_us=now_us + int(slot_request.time_left_us * MAX_WAIT_SHARE),
             objective_us=now_us + slot_request.objective_left_us,
+            service_us=service_us,
         )
         self._waiters[host_id, slot_request.ask_id] = waiter
         return waiter
@@ -129,15 +135,17 @@
     ) -> int:
         """Estimate how long a new request of this priority would wait.
 
-        `per_request_us` is the mean service time.
+        `per_request_us` is the mean service time, which holds for the waiting
+        requests without an estimate.
         """
         if not slots:
             return MAX_RETRY_AFTER_US
-        ahead = sum(
-            waiter.slot_request.priority <= priority
+        ahead_us = sum(
+            waiter.service_us or per_request_us
             for waiter in self._waiters.values()
+            if waiter.slot_request.priority <= priority
         )
-        return (ahead + 1) * per_request_us // slots
+        return (ahead_us + per_request_us) // slots
 
     def retry_after_us(self, wait_us: int) -> int:
         """Return the delay after which a refused caller should retry."""
--- a/foxtailreach/tests/dispatch/request_costs_tests.py
+++ b/foxtailreach/tests/dispatch/request_costs_tests.py
@@ -6,11 +6,19 @@
 
 import pytest
 
+from foxtailreach.core.dispatch.broker import Broker
 from foxtailreach.core.dispatch.request_costs import (
     MAX_CLASSES,
     MAX_DIGEST_CLASSES,
     RequestCosts,
 )
+from foxtailreach.core.dispatch.wait_queue import WaitQueue
+from foxtailreach.tests.dispatch.fixtures import (
+    START_US,
+    create_broker,
+    refusals,
+    slot_request,
+)
 
 CHEAP_US = 64_000
 COSTLY_US = 195_000
@@ -153,7 +161,71 @@
     """Two brokers of a service may work at once while links are cut."""
     costs = two_classes()
     record(costs, 1, CHEAP_US, 10)
-    other = RequestCosts()
+    other = two_classes()
     record(other, 1, 10 * CHEAP_US, 100)
+    assert other.digest()
     costs.merge(other.digest())
     assert costs.estimate(1, 0).mean_us == pytest.approx(CHEAP_US, rel=0.05)
+
+
+def learned_broker() -> Broker:
+    """Create a broker that has learned two classes and a slow target."""
+    broker = create_broker(2)
+    for index in range(200):
+        for target, factor in (('t0', 2), ('t1', 1)):
+            record(broker.costs, 1, factor * CHEAP_US, target=target)
+            record(broker.costs, 2, factor * COSTLY_US, target=target)
+        broker.costs.record_service_time(
+            CHEAP_US if index % 2 else COSTLY_US,
+        )
+    return broker
+
+
+@pytest.mark.parametrize(
+    ('request_class', 'is_refused'),
+    [(1, False), (2, True)],
+    ids=['cheap', 'costly'],
+)
+def test_request_is_refused_by_the_estimate_of_its_class(
+    request_class: int, is_refused: bool
+) -> None:
+    """100 ms are left: enough for a look-up, too little for an upload."""
+    broker = learned_broker()
+    request = slot_request(1, request_class=request_class, time_left_us=100_000)
+    new_effects = broker.request_slot('h1', 'd1', request, START_US)
+    assert bool(refusals(new_effects)) is is_refused
+
+
+def test_request_is_late_by_the_estimate_of_its_class() -> None:
+    """A cheap request that can be in time goes before a costly late one."""
+    queue = WaitQueue(random.Random(1))
+    for ask_id, service_us in ((1, COSTLY_US), (2, CHEAP_US)):
+        request = slot_request(ask_id, objective_left_us=150_000)
+        queue.add('h1', 'd1', request, START_US, service_us)
+    ordered = queue.ordered(START_US, CHEAP_US)
+    assert [waiter.slot_request.ask_id for waiter in ordered] == [2, 1]
+    waits_us = queue.expected_wait_us(1, 1, CHEAP_US)
+    assert waits_us == COSTLY_US + 2 * CHEAP_US
+
+
+def test_digest_carries_costs_and_slowness_to_the_next_broker() -> None:
+    broker = learned_broker()
+    for record_ in broker.records.values():
+        record_.is_tried = True
+    follower = create_broker(2)
+    follower.merge_evidence(broker.digest(START_US), START_US)
+    assert follower.costs.is_active
+    assert follower.costs.slowness('t0') == pytest.approx(
+        broker.costs.slowness('t0'), rel=0.01
+    )
+    assert follower.costs.digest()[0].mean_us > CHEAP_US
+
+
+def test_digest_of_a_service_with_equal_requests_stays_as_it_was() -> None:
+    """Messages grow only where estimates are called for."""
+    broker = create_broker(1)
+    record(broker.costs, 1, CHEAP_US, 100)
+    broker.records['t0'].is_tried = True
+    digest = broker.digest(START_US)
+    assert not digest.costs
+    assert not digest.entries[0].slowness_permille
