Place requests by their expected finish at a target

Cause: a slow target got requests that can be in time only elsewhere.

Change: among targets of the same status, the expected finish adds to the cost of a target, and a finish after the objective as much as evidence that is 5 s older. The slowness of a target counts from a factor of 1.3 on. A target's remaining work is computed, but no decision uses it yet.

A test shows the choice between two targets.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -449,6 +449,7 @@
         state.service_us = self._service_time_us()
         state.busy_slots = len(self._leases)
         state.demand = self.coverage(now_us)
+        state.costs = self.costs
         new_effects: Effects = []
         for waiter in self._queue.ordered(now_us, self._service_time_us()):
             if not self._has_free_slot(now_us):
@@ -517,6 +518,10 @@
             waited_us=now_us - waiter.enqueued_us,
             connected=frozenset(slot_request.connected),
             excluded=frozenset(slot_request.excluded),
+            estimate=self.costs.class_estimate(
+                slot_request.request_class, slot_request.body_bytes
+            ),
+            objective_left_us=waiter.objective_us - now_us,
         )
 
     def _has_free_slot(self, now_us: int) -> bool:
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -17,6 +17,8 @@
     underused_targets,
 )
 from foxtailreach.core.dispatch.deployment import RequestKind
+from foxtailreach.core.dispatch.request_costs import CostEstimate, RequestCosts
+from foxtailreach.core.dispatch.target_load import expected_finish_us
 from foxtailreach.core.dispatch.target_record import TargetRecord, TargetStatus
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
@@ -36,6 +38,11 @@
 # An upload of 60 KB costs an eighth of the value of its request, which is lost
 # if its target fails: a second of age adds a tenth to that probability.
 REMOTE_UPLOAD_COST_US = 1500 * MILLISECOND_US
+# A late answer loses half of the value of its request or more: a second of age
+# adds a tenth to the probability of losing all.
+LATE_FINISH_COST_US = 5 * SECOND_US
+# A request counts as in time if it is so at this many mean deviations more.
+LATE_DEVIATIONS = 1.5
 # A request that cannot be retried waits this long for a proven target.
 PROVEN_WAIT_US = 150 * MILLISECOND_US
 # A newly joined target without requests gets a probe after its warm-up, at
@@ -53,7 +60,8 @@
     """The properties of a request that determine its target.
 
     `may_probe` allows an unproven target although there are proven ones: the
-    request is repeatable, and the retry budget has retries left.
+    request is repeatable, and the retry budget has retries left. Without
+    an `estimate` its finish time does not count.
     """
 
     domain: str
@@ -63,6 +71,8 @@
     waited_us: int
     connected: frozenset[str]
     excluded: frozenset[str]
+    estimate: CostEstimate | None = None
+    objective_left_us: int = 0
 
 
 @dataclass(slots=True)
@@ -81,6 +91,7 @@
     is_sole: bool = True
     prefers_own_domain: bool = False
     last_probe_us: int = 0
+    costs: RequestCosts | None = None
 
     def keeps_local(self, request: PlacementRequest) -> bool:
         """Tell whether a request leaves its domain only if it has to."""
@@ -250,9 +261,25 @@
         cost_us += _remote_cost_us(request.kind, state)
     if record.is_warming_up(now_us):
         cost_us += SECOND_US
+    if request.estimate is not None and state.costs is not None:
+        slowness = state.costs.slowness(record.spec.target_id)
+        cost_us += _finish_cost_us(
+            request.estimate, slowness, request.objective_left_us
+        )
     return cost_us
 
 
+def _finish_cost_us(
+    estimate: CostEstimate, slowness: float, objective_left_us: int
+) -> int:
+    """Express the expected finish of a request as a cost."""
+    finish_us = expected_finish_us(estimate.mean_us, slowness)
+    spread_us = expected_finish_us(estimate.deviation_us, slowness)
+    if finish_us + LATE_DEVIATIONS * spread_us > objective_left_us:
+        return finish_us + LATE_FINISH_COST_US
+    return finish_us
+
+
 def _remote_cost_us(kind: RequestKind, state: PlacementState) -> int:
     match kind:
         case RequestKind.DOWNLOAD:
--- a/foxtailreach/core/dispatch/target_load.py
+++ b/foxtailreach/core/dispatch/target_load.py
@@ -42,6 +42,9 @@
 # A target with 6 slots serves about this many during the longest request.
 SERVED_MEMORY = 24
 LONG_MEMORY = 12
+# A target counts as of usual speed within this factor: the estimate of its
+# slowness has a standard error of 0.14.
+USUAL_SLOWNESS = 0.3
 
 Holder = tuple[str, int]
 
@@ -62,6 +65,18 @@
     granted_us: int
     estimate: CostEstimate
 
+    def remaining_us(self, now_us: int) -> int:
+        """Return the expected time until it ends.
+
+        A request that runs longer than estimated takes about its deviation
+        more, and one that runs for several times the mean as long again.
+        """
+        run_us = now_us - self.granted_us
+        left_us = self.estimate.mean_us - run_us
+        if run_us > LATE_FACTOR * self.estimate.mean_us:
+            return run_us
+        return max(left_us, self.estimate.deviation_us)
+
 
 class TargetLoad:
     """Running requests of a target, and its recent outcomes by send time."""
@@ -91,6 +106,12 @@
         """Forget a request that has ended."""
         self._running.pop(holder, None)
 
+    def remaining_us(self, now_us: int) -> int:
+        """Return the expected remaining work of the running requests."""
+        return sum(
+            running.remaining_us(now_us) for running in self._running.values()
+        )
+
     def record_served(self, sent_us: int) -> list[LongRequest]:
         """Record an answer in time.
 
@@ -185,3 +206,10 @@
 def overdue_after_us(service_us: int) -> int:
     """Return how long a request may run before it is overdue."""
     return max(MIN_OVERDUE_US, OVERDUE_FACTOR * service_us)
+
+
+def expected_finish_us(service_us: int, slowness: float) -> int:
+    """Return the time until a request ends at a target with a free slot."""
+    if abs(slowness - 1) < USUAL_SLOWNESS:
+        return service_us
+    return int(service_us * slowness)
--- a/foxtailreach/tests/dispatch/request_costs_tests.py
+++ b/foxtailreach/tests/dispatch/request_costs_tests.py
@@ -10,12 +10,15 @@
 from foxtailreach.core.dispatch.request_costs import (
     MAX_CLASSES,
     MAX_DIGEST_CLASSES,
+    CostEstimate,
     RequestCosts,
 )
+from foxtailreach.core.dispatch.target_load import TargetLoad
 from foxtailreach.core.dispatch.wait_queue import WaitQueue
 from foxtailreach.tests.dispatch.fixtures import (
     START_US,
     create_broker,
+    grants,
     refusals,
     slot_request,
 )
@@ -181,6 +184,27 @@
     return broker
 
 
+@pytest.mark.parametrize(
+    ('request_class', 'objective_ms', 'target_id'),
+    [(1, 300, 't0'), (2, 300, 't1'), (2, 5, 't0')],
+    ids=['in-time-at-both', 'late-at-the-slow-one', 'late-at-both'],
+)
+def test_request_goes_where_it_ends_within_its_objective(
+    request_class: int, objective_ms: int, target_id: str
+) -> None:
+    """Both targets have fresh evidence, the slow one by 0.2 s newer."""
+    broker = learned_broker()
+    broker.records['t0'].last_served_us = START_US - 100_000
+    broker.records['t1'].last_served_us = START_US - 300_000
+    request = slot_request(
+        1,
+        request_class=request_class,
+        objective_left_us=1000 * objective_ms,
+    )
+    grant = grants(broker.request_slot('h1', 'd1', request, START_US))[0]
+    assert grant.target_id == target_id
+
+
 @pytest.mark.parametrize(
     ('request_class', 'is_refused'),
     [(1, False), (2, True)],
@@ -229,3 +253,13 @@
     digest = broker.digest(START_US)
     assert not digest.costs
     assert not digest.entries[0].slowness_permille
+
+
+def test_remaining_work_is_corrected_for_requests_that_run_long() -> None:
+    load = TargetLoad()
+    load.add(('h1', 1), CostEstimate(CHEAP_US, 10_000, 0, 0), START_US)
+    remaining_us = [
+        load.remaining_us(START_US + run_us)
+        for run_us in (0, 20_000, CHEAP_US, 3 * CHEAP_US)
+    ]
+    assert remaining_us == [CHEAP_US, 44_000, 10_000, 3 * CHEAP_US]
