Show the costs that a broker has learned in its log and metrics

Cause: operators could not tell why a long request ejected no target.

Change: where estimates of classes are used, a broker logs a line every 10 s and exports the known classes, the last sampled service time with its estimate, and the number of long requests that ejected no target.

Result: the new test of notes and metrics passes.

--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -18,6 +18,7 @@
 # Evidence becomes stale fast.
 DIGEST_INTERVAL_US = SECOND_US
 NOTE_INTERVAL_US = SECOND_US
+COST_NOTE_INTERVAL_US = 10 * SECOND_US
 BROKER_IDLE_US = 20 * SECOND_US
 
 
@@ -39,6 +40,7 @@
     last_request_us: int = 0
     last_digest_us: int = 0
     last_note_us: int = 0
+    last_cost_note_us: int = 0
     noted_scope: CoverageScope = CoverageScope.NONE
 
 
@@ -199,7 +201,36 @@
                 )
         return new_effects
 
-    def coverage_notes(self, now_us: int) -> list[effects.Note]:
+    def notes(self, now_us: int) -> list[effects.Note]:
+        """Describe coverage and costs of the services for the log."""
+        return [*self._coverage_notes(now_us), *self._cost_notes(now_us)]
+
+    def gauges(self) -> dict[str, int]:
+        """Return the metrics of all brokers by name."""
+        gauges = {}
+        for service, entry in self._entries.items():
+            broker = entry.broker
+            gauges[f'waiting_{service}'] = broker.queue_length
+            gauges[f'known_classes_{service}'] = broker.costs.known_classes
+            gauges[f'spared_targets_{service}'] = broker.tail_rule.spared
+            sample = broker.tail_rule.sample
+            gauges[f'sampled_service_us_{service}'] = sample.actual_us
+            gauges[f'estimated_service_us_{service}'] = sample.estimated_us
+        return gauges
+
+    def _cost_notes(self, now_us: int) -> list[effects.Note]:
+        """Describe costs where estimates of classes are used, every 10 s."""
+        notes = []
+        for service, entry in self._entries.items():
+            is_due = now_us - entry.last_cost_note_us > COST_NOTE_INTERVAL_US
+            if is_due and entry.broker.costs.is_active:
+                entry.last_cost_note_us = now_us
+                notes.append(
+                    effects.Note('costs', service, _describe_costs(entry)),
+                )
+        return notes
+
+    def _coverage_notes(self, now_us: int) -> list[effects.Note]:
         """Describe changes of the coverage, at most one in a second."""
         notes = []
         for service, entry in self._entries.items():
@@ -217,13 +248,6 @@
                 )
         return notes
 
-    def queue_lengths(self) -> dict[str, int]:
-        """Return the number of waiting requests of each service."""
-        return {
-            service: entry.broker.queue_length
-            for service, entry in self._entries.items()
-        }
-
     def _entry_for(self, service: str, now_us: int) -> BrokerEntry | None:
         deployment = self._deployment
         if deployment is None or service not in deployment.services:
@@ -267,6 +291,16 @@
     )
 
 
+def _describe_costs(entry: BrokerEntry) -> str:
+    tail_rule = entry.broker.tail_rule
+    sample = tail_rule.sample
+    return (
+        f'{entry.broker.costs.known_classes} classes; a request of class '
+        f'{sample.request_class} took {sample.actual_us} us, estimated '
+        f'{sample.estimated_us} us; {tail_rule.spared} targets spared'
+    )
+
+
 def _is_digest_due(entry: BrokerEntry, now_us: int) -> bool:
     is_active = now_us - entry.last_request_us < DIGEST_INTERVAL_US
     return is_active and now_us - entry.last_digest_us > DIGEST_INTERVAL_US
--- a/foxtailreach/core/dispatch/tail_rule.py
+++ b/foxtailreach/core/dispatch/tail_rule.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from foxtailreach.core.dispatch.messages import SendOutcome, SlotReport
 from foxtailreach.core.dispatch.request_costs import (
     TAIL_SHARE,
@@ -24,17 +26,27 @@
 )
 
 
+class CostSample(NamedTuple):
+    """Estimated and actual service time of one served request."""
+
+    request_class: int = 0
+    estimated_us: int = 0
+    actual_us: int = 0
+
+
 class TailRule:
     """Learns costs from the reports of a service, and judges long requests.
 
-    `spared` counts the targets that were not ejected after a long request.
+    `spared` counts the long requests that did not eject their target, `sample`
+    is the last request that was served.
     """
 
-    __slots__ = ('spared',)
+    __slots__ = ('sample', 'spared')
 
     def __init__(self) -> None:
         """Start without reports."""
         self.spared = 0
+        self.sample = CostSample()
 
     def apply(
         self,
@@ -69,6 +81,9 @@
         if record.is_warming_up(now_us):
             return is_slow
         if is_served:
+            self.sample = CostSample(
+                report.request_class, estimate.mean_us, report.latency_us
+            )
             costs.record_service_time(report.latency_us)
         if is_served and not is_slow:
             _record_in_time(record, costs, report, now_us)
--- a/foxtailreach/tests/dispatch/tail_rule_tests.py
+++ b/foxtailreach/tests/dispatch/tail_rule_tests.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
 
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.broker import Broker
+from foxtailreach.core.dispatch.deployment import Deployment
 from foxtailreach.core.dispatch.messages import SendOutcome
 from foxtailreach.core.dispatch.request_costs import CostEstimate
+from foxtailreach.core.dispatch.service_brokers import ServiceBrokers
 from foxtailreach.core.dispatch.target_load import LongRequest, TargetLoad
 from foxtailreach.core.dispatch.target_record import TargetRecord, TargetStatus
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
@@ -22,11 +25,14 @@
     replay_costs,
 )
 from foxtailreach.tests.dispatch.fixtures import (
+    RETRY_POLICY,
+    SERVICE,
     START_US,
     create_broker,
     grants,
     slot_report,
     slot_request,
+    spec,
 )
 
 MEAN_US = 500 * MILLISECOND_US
@@ -216,3 +222,21 @@
         for uses_costs in (False, True)
     ]
     assert replays[0].sends == replays[1].sends
+
+
+def test_spared_targets_and_samples_are_shown_to_operators() -> None:
+    """A broker that ejects too few targets must be found in its metrics."""
+    brokers = ServiceBrokers(RETRY_POLICY, random.Random(1))
+    deployment = Deployment(1, services={'svc': SERVICE})
+    target = spec(0, slots=6)
+    brokers.update(deployment, [target], frozenset(), START_US)
+    brokers.merge_remote_outcomes(messages.TurnedAway('svc'), START_US)
+    assert not brokers.notes(START_US)
+    follower_costs = create_broker(1)
+    learn_tail(follower_costs, 0.03)
+    brokers.merge_remote_outcomes(follower_costs.digest(START_US), START_US)
+    notes = brokers.notes(START_US)
+    assert [note.name for note in notes] == ['costs']
+    assert brokers.gauges()['known_classes_svc'] == 1
+    assert brokers.gauges()['spared_targets_svc'] == 0
+    assert not brokers.notes(START_US + SECOND_US)
