--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -214,7 +214,7 @@
         if self._queue or self._pause_left_us(now_us):
             return False
         waiter = self._queue.prepare(
-            host_id, domain, request, self._expected_work_us(request), now_us
+            host_id, domain, request, self.costs.expected_us(request), now_us
         )
         self._update_placement(now_us)
         return has_target_by_evidence(
@@ -277,7 +277,7 @@
         if known is not None:
             return [messages.SendHost(host_id, known.grant)]
         if holder in self._queue:
-            return [self._queued_reply(host_id, request)]
+            return [_queued_reply(host_id, request, self.service_time_us)]
         if holder in self._ended:
             # A late copy of a message must not take another slot.
             return []
@@ -381,6 +381,10 @@
                     _timestamp_us(entry.served_age_us, now_us),
                     _timestamp_us(entry.failed_age_us, now_us),
                 )
+                self.costs.merge_slowness(
+                    entry.target_id, entry.slowness_permille
+                )
+        self.costs.merge(digest.costs)
 
     def digest(self, now_us: int) -> messages.EvidenceDigest:
         """Return the evidence for hosts that may replace this broker."""
@@ -389,11 +393,14 @@
                 target_id,
                 _age_us(record.last_served_us, now_us),
                 _age_us(record.last_failed_us, now_us),
+                self.costs.slowness_permille(target_id),
             )
             for target_id, record in self.records.items()
             if record.is_tried
         )
-        return messages.EvidenceDigest(self._pool.name, entries)
+        return messages.EvidenceDigest(
+            self._pool.name, entries, self.costs.digest()
+        )
 
     def tick(self, now_us: int) -> Effects:
         """Expire leases and waiting requests, then serve the queue."""
@@ -460,7 +467,7 @@
             cause = RefusalCause.NO_TARGET
             self._outcomes.record_request(now_us, is_served=False)
             return [self.refusals.refuse(host_id, request, cause)]
-        work_us = self._expected_work_us(request)
+        work_us = self.costs.expected_us(request)
         waiter = self._queue.prepare(host_id, domain, request, work_us, now_us)
         room = self._room(now_us) if len(self._queue) else 0
         wait_us = self._queue.expected_wait_us(waiter, room, now_us)
@@ -473,7 +480,9 @@
         ]
         new_effects.extend(self._serve_queue(now_us))
         if (host_id, request.ask_id) in self._queue:
-            new_effects.append(self._queued_reply(host_id, request))
+            new_effects.append(
+                _queued_reply(host_id, request, self.service_time_us)
+            )
         return new_effects
 
     def _serve_queue(self, now_us: int) -> Effects:
@@ -499,6 +508,7 @@
         self._placement.service_us = self.service_time_us
         self._placement.busy_slots = len(self._leases)
         self._placement.demand = self.coverage(now_us)
+        self._placement.costs = self.costs
 
     def _choose_target(
         self, waiter: Waiter, passed_over: PassedOver, now_us: int
@@ -556,6 +566,10 @@
             waited_us=now_us - waiter.enqueued_us,
             connected=frozenset(slot_request.connected),
             excluded=frozenset(slot_request.excluded),
+            estimate=self.costs.class_estimate(
+                slot_request.request_class, slot_request.body_bytes
+            ),
+            objective_left_us=waiter.late_after_us + waiter.work_us - now_us,
         )
 
     def _grant(
@@ -678,22 +692,6 @@
             is_sole=self._placement.is_sole,
         )
 
-    def _expected_work_us(self, request: messages.SlotRequest) -> int:
-        """Return the expected service time of a request."""
-        return self.costs.estimate(
-            request.request_class, request.body_bytes
-        ).mean_us
-
-    def _queued_reply(
-        self,
-        host_id: str,
-        request: messages.SlotRequest,
-    ) -> messages.SendHost:
-        return messages.SendHost(
-            host_id,
-            messages.SlotQueued(request.ask_id, self.service_time_us),
-        )
-
     def _refuse_overload(
         self, waiter: Waiter, room: int, now_us: int
     ) -> messages.SendHost:
@@ -720,6 +718,14 @@
         )
 
 
+def _queued_reply(
+    host_id: str, request: messages.SlotRequest, service_us: int
+) -> messages.SendHost:
+    return messages.SendHost(
+        host_id, messages.SlotQueued(request.ask_id, service_us)
+    )
+
+
 def _age_us(timestamp_us: int, now_us: int) -> int:
     return now_us - timestamp_us if timestamp_us else -1
 
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -34,6 +34,7 @@
 # Evidence becomes stale fast.
 DIGEST_INTERVAL_US = SECOND_US
 NOTE_INTERVAL_US = SECOND_US
+COST_NOTE_INTERVAL_US = 10 * SECOND_US
 BROKER_IDLE_US = 20 * SECOND_US
 # How often other pools learn of slots to spare.
 STATUS_INTERVAL_US = 500 * MILLISECOND_US
@@ -67,6 +68,7 @@
     last_request_us: int = 0
     last_digest_us: int = 0
     last_note_us: int = 0
+    last_cost_note_us: int = 0
     noted_scope: CoverageScope = CoverageScope.NONE
 
 
@@ -243,7 +245,36 @@
             new_effects.extend(self._report_spare(entry, choose_broker, now_us))
         return new_effects
 
-    def coverage_notes(self, now_us: int) -> list[effects.Note]:
+    def notes(self, now_us: int) -> list[effects.Note]:
+        """Describe coverage and costs of the services for the log."""
+        return [*self._coverage_notes(now_us), *self._cost_notes(now_us)]
+
+    def gauges(self) -> dict[str, int]:
+        """Return the metrics of all brokers by name."""
+        gauges = {}
+        for service, entry in self._entries.items():
+            broker = entry.broker
+            gauges[f'waiting_{service}'] = broker.queue_length
+            gauges[f'known_classes_{service}'] = broker.costs.known_classes
+            gauges[f'spared_targets_{service}'] = broker.tail_rule.spared
+            sample = broker.tail_rule.sample
+            gauges[f'sampled_service_us_{service}'] = sample.actual_us
+            gauges[f'estimated_service_us_{service}'] = sample.estimated_us
+        return gauges
+
+    def _cost_notes(self, now_us: int) -> list[effects.Note]:
+        """Describe costs where estimates of classes are used, every 10 s."""
+        notes = []
+        for service, entry in self._entries.items():
+            is_due = now_us - entry.last_cost_note_us > COST_NOTE_INTERVAL_US
+            if is_due and entry.broker.costs.is_active:
+                entry.last_cost_note_us = now_us
+                notes.append(
+                    effects.Note('costs', service, _describe_costs(entry)),
+                )
+        return notes
+
+    def _coverage_notes(self, now_us: int) -> list[effects.Note]:
         """Describe changes of the coverage, at most one in a second."""
         notes = []
         for name, entry in self._entries.items():
@@ -261,13 +292,6 @@
                 )
         return notes
 
-    def queue_lengths(self) -> dict[str, int]:
-        """Return the number of waiting requests of each pool."""
-        return {
-            name: entry.broker.queue_length
-            for name, entry in self._entries.items()
-        }
-
     def _direct_elsewhere(
         self,
         entry: BrokerEntry,
@@ -422,6 +446,16 @@
     )
 
 
+def _describe_costs(entry: BrokerEntry) -> str:
+    tail_rule = entry.broker.tail_rule
+    sample = tail_rule.sample
+    return (
+        f'{entry.broker.costs.known_classes} classes; a request of class '
+        f'{sample.request_class} took {sample.actual_us} us, estimated '
+        f'{sample.estimated_us} us; {tail_rule.spared} targets spared'
+    )
+
+
 def _is_digest_due(entry: BrokerEntry, now_us: int) -> bool:
     is_active = now_us - entry.last_request_us < DIGEST_INTERVAL_US
     return is_active and now_us - entry.last_digest_us > DIGEST_INTERVAL_US
--- a/foxtailreach/tests/dispatch/pools_tests.py
+++ b/foxtailreach/tests/dispatch/pools_tests.py
@@ -215,7 +215,7 @@
     brokers.merge_remote(status(1), START_US)
     later_us = START_US + 300 * MILLISECOND_US
     assert ask(brokers, 10, SlotScope.OWN, later_us) == SlotReferral(10, 'd2')
-    assert brokers.queue_lengths()['svc@d1'] == 1
+    assert brokers.gauges()['waiting_svc@d1'] == 1
 
 
 def test_pool_without_spare_slots_refuses_other_domains() -> None:
