Compare replicas and offsets within one era of the store

Cause: after a restoration the store gives out offsets again. Replicas compared offsets alone, so a host that had read further ignored every later write and never copied the restored content.

OutageDetector ignores heartbeats of another era.

--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -20,6 +20,7 @@
     Deployment,
     TargetSpec,
 )
+from foxtailreach.core.dispatch.granted_targets import has_left
 from foxtailreach.core.dispatch.holder_watch import HolderWatch
 from foxtailreach.core.dispatch.host_messages import Effects, HostMessages
 from foxtailreach.core.dispatch.metering import Metering
@@ -246,15 +247,10 @@
     def knows_as_left(self, grant: messages.SlotGrant) -> bool:
         """Tell whether a granted target must get no further requests.
 
-        True if it is draining, gone or restarted by a list of targets that is
-        at least as new as the broker's.
+        See `foxtailreach.core.dispatch.granted_targets`.
         """
-        if grant.state_version > self.targets_version:
-            return False
         target = self._targets_by_id.get(grant.target_id)
-        if target is None or target.is_draining:
-            return True
-        return target.started_ms != grant.started_ms
+        return has_left(grant, target, self.targets_version)
 
     def notice_of(self, grant: messages.SlotGrant, now_us: int) -> TargetNotice:
         """Return what a granted target has told this host."""
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -115,7 +115,8 @@
 
     `proven_age_us` is the age of the target's last success; -1 if the target
     is unproven. The broker granted by a list of targets that it has known to be
-    the same since `state_version`, an offset; -1 if it never got one.
+    the same since `state_version`, an offset with the era of the store (see
+    `foxtailreach.core.dispatch.eras.state_version`); -1 if it never got one.
     """
 
     ask_id: int
--- a/foxtailreach/core/dispatch/outages.py
+++ b/foxtailreach/core/dispatch/outages.py
@@ -23,17 +23,19 @@
 class OutageDetector:
     """Compares the heartbeats in the log with the time since the last read."""
 
-    __slots__ = ('_heartbeat_us', '_next_offset', '_read_us')
+    __slots__ = ('_era', '_heartbeat_us', '_next_offset', '_read_us')
 
     def __init__(self, heartbeat_us: int) -> None:
         """Start without a read; targets write every `heartbeat_us`."""
         self._heartbeat_us = heartbeat_us
+        self._era = 0
         self._next_offset = 0
         self._read_us = 0
 
-    def record_read(self, next_offset: int, now_us: int) -> None:
+    def record_read(self, next_offset: int, now_us: int, era: int = 0) -> None:
         """Record that a host of this domain has read up to an offset."""
-        if next_offset >= self._next_offset:
+        if (era, next_offset) >= (self._era, self._next_offset):
+            self._era = era
             self._next_offset = next_offset
             self._read_us = now_us
 
@@ -43,12 +45,16 @@
         removed: int,
         next_offset: int,
         now_us: int,
+        era: int = 0,
     ) -> bool:
         """Tell whether the store refused heartbeats since the last read.
 
         `records` are all records since then, or the newest of each key;
-        `removed` keys were removed, by records below `next_offset`.
+        `removed` keys were removed, by records below `next_offset`. Heartbeats
+        of another era do not tell; what a restoration loses is retained anyway.
         """
+        if era != self._era:
+            return False
         elapsed_us = now_us - self._read_us
         if not self._read_us or elapsed_us <= self._heartbeat_us:
             return False
