Remember removed records across restorations of the store

Cause: a host often learns that a target has left without having seen it drain, since copies hold the newest state only. The simulated restoration listed such a target as ready, and hosts used it again.

Change: FormerRecords keeps removed records. An entry in the copy of a process that had left is refused until it writes again; whole copies name the refused keys, so that hosts that have just started drop them too. A draining target is left out of the digest once the store was restored, so that hosts that know it as draining and as gone agree.

--- a/foxtailreach/core/dispatch/eras.py
+++ b/foxtailreach/core/dispatch/eras.py
@@ -35,11 +35,11 @@
     return version >> _OFFSET_BITS == other >> _OFFSET_BITS
 
 
-def _is_never_older(known: KeyedRecord, newer: KeyedRecord) -> bool:
+def _is_never(known: KeyedRecord, other: KeyedRecord) -> bool:
     return False
 
 
-def _is_never_kept(record: KeyedRecord) -> bool:
+def _is_none(record: KeyedRecord) -> bool:
     return False
 
 
@@ -48,13 +48,16 @@
     """What outlives a restoration of the store, in one topic.
 
     `is_older(known, other)` tells whether `other` is outdated by a record known
-    from any era. `is_remembered` records are kept after their removal, for that
-    comparison. `is_lasting` records stay although a restored store lacks them.
+    from any era. `is_final` records take the place of older ones even after
+    their removal. `is_lasting` ones stay although a restored store lacks them.
+    `is_same_start(left, other)` tells whether `other` was written by a process
+    of which the record was removed.
     """
 
-    is_older: Callable[[KeyedRecord, KeyedRecord], bool] = _is_never_older
-    is_remembered: Callable[[KeyedRecord], bool] = _is_never_kept
-    is_lasting: Callable[[KeyedRecord], bool] = _is_never_kept
+    is_older: Callable[[KeyedRecord, KeyedRecord], bool] = _is_never
+    is_final: Callable[[KeyedRecord], bool] = _is_none
+    is_lasting: Callable[[KeyedRecord], bool] = _is_none
+    is_same_start: Callable[[KeyedRecord, KeyedRecord], bool] = _is_never
 
 
 # For topics of which the log alone decides.
@@ -62,33 +65,64 @@
 
 
 class FormerRecords:
-    """Removed records that outdate older ones of the same key."""
+    """Removed records, which tell what is outdated in a restored store.
 
-    __slots__ = ('_records', '_rules')
+    `refused` are the keys that the copy of the store holds although they were
+    removed before the restoration.
+    """
+
+    __slots__ = ('_end', '_era', '_records', '_rules', 'refused')
 
     def __init__(self, rules: EraRules) -> None:
         """Remember nothing yet."""
         self._rules = rules
         self._records: dict[str, KeyedRecord] = {}
+        self._era = 0
+        self._end = 0
+        self.refused: set[str] = set()
+
+    def begin(self, era: int, end: int) -> None:
+        """Begin an era in which the copy held offsets below `end` at most."""
+        self._era = era
+        self._end = end
+        self.refused.clear()
 
     def remember(self, record: KeyedRecord) -> None:
-        """Remember a removed record, if it outlives a restoration."""
-        if not self._rules.is_remembered(record):
-            return
-        self._records.pop(record.key, None)
+        """Remember a removed record."""
+        self.forget(record.key)
         self._records[record.key] = record
         if len(self._records) > MAX_FORMER_RECORDS:
-            self._records.pop(next(iter(self._records)))
+            self.forget(next(iter(self._records)))
+
+    def remember_lost(self, record: KeyedRecord) -> None:
+        """Remember a record that the restored store lacks, if it is final.
+
+        Any other one may be written again.
+        """
+        if self._rules.is_final(record):
+            self.remember(record)
+
+    def forget(self, key: str) -> None:
+        """Forget the removed record of a key that was written again."""
+        self._records.pop(key, None)
+        self.refused.discard(key)
 
-    def substitute(self, record: KeyedRecord) -> KeyedRecord:
-        """Return the former record of a key instead of an outdated one.
+    def substitute(self, record: KeyedRecord) -> KeyedRecord | None:
+        """Return what a record means after a restoration; None if nothing.
 
-        A newer record ends the memory of the former one.
+        That is the former record of the key if it is final and newer. A record
+        of the copy is refused if its process had left; if it has not, it writes
+        again.
         """
         former = self._records.get(record.key)
-        if former is None:
+        if not self._era or former is None:
             return record
-        if self._rules.is_older(former, record):
+        if self._rules.is_final(former) and self._rules.is_older(
+            former, record
+        ):
             return replace(former, offset=record.offset)
-        self._records.pop(record.key)
+        is_copied = record.offset < self._end
+        if is_copied and self._rules.is_same_start(former, record):
+            self.refused.add(record.key)
+            return None
         return record
--- a/foxtailreach/core/dispatch/topic_mirror.py
+++ b/foxtailreach/core/dispatch/topic_mirror.py
@@ -37,10 +37,8 @@
     TopicCopy,
     TopicVersion,
 )
+from foxtailreach.core.dispatch.tombstones import Tombstones
 
-# Removed keys that are kept for deltas; hosts with an older replica get a whole
-# copy.
-MAX_TOMBSTONES = 2000
 # Offset of a replica that was never read.
 NO_VERSION = -1
 
@@ -61,7 +59,7 @@
         '_fingerprint',
         '_former',
         '_history_start',
-        '_removed_offsets',
+        '_removed',
         '_rules',
         'changed_offset',
         'era',
@@ -92,10 +90,10 @@
         self.is_diverged = False
         self._classify = classify
         self._fingerprint = fingerprint
-        # Offsets of the last change and of the removal of each key, or later
-        # ones. Both are complete since `_history_start`.
+        # Offsets of the last change of each key, or later ones. They and the
+        # removals are complete since `_history_start`.
         self._changed_offsets: dict[str, int] = {}
-        self._removed_offsets: dict[str, int] = {}
+        self._removed = Tombstones()
         self._history_start = 0
         self._digest = ContentDigest()
         self._rules = rules
@@ -146,7 +144,7 @@
         if other.changed_offset < 0 or not is_same or not self.is_read:
             return False
         if other.era > self.era:
-            self._enter(other.era)
+            self._enter(other.era, other.next_offset)
             self._history_start = other.next_offset
             self.changed_offset = other.changed_offset
             self.next_offset = other.next_offset
@@ -178,7 +176,7 @@
         if era is not None and era < self.era:
             return False
         if era is not None and era > self.era:
-            self._enter(era)
+            self._enter(era, next_offset)
         is_first = not self.is_read
         is_current = next_offset >= self.next_offset
         listed = {record.key: record for record in records}
@@ -197,7 +195,7 @@
         else:
             is_changed = self.fold(usable, next_offset)
         for key in missing_keys:
-            self._remove(key, next_offset - 1)
+            self._remove(key, next_offset - 1, is_lost=is_first)
         if is_current:
             # The list does not show when the content became what it is.
             ends = (record.offset + 1 for record in usable)
@@ -223,18 +221,17 @@
             for key, record in self.records.items()
             if not is_same and self._changed_offsets.get(key, base) >= base
         ]
-        removed = [
-            key
-            for key, removed_offset in self._removed_offsets.items()
-            if not is_same and removed_offset >= base
-        ]
+        # A whole copy names the keys that its receiver must refuse, too.
+        removed = self._former.refused
+        if base != NO_VERSION:
+            removed = set(() if is_same else self._removed.since(base))
         return TopicCopy(
             topic=self.name,
             base_offset=base,
             changed_offset=self.changed_offset,
             next_offset=self.next_offset,
             records=tuple(records),
-            removed=() if base == NO_VERSION else tuple(removed),
+            removed=tuple(sorted(removed)),
             digest=self._digest.value,
             era=self.era,
         )
@@ -249,7 +246,7 @@
         if copy.era != self.era:
             if copy.era < self.era or not is_whole or copy.next_offset < 0:
                 return False
-            self._enter(copy.era)
+            self._enter(copy.era, copy.next_offset)
             return self._adopt_whole(copy)
         if is_whole:
             is_needed = self.is_diverged or self.is_behind(copy.version)
@@ -267,9 +264,13 @@
         self.is_diverged = copy.digest != self._digest.value
         return is_changed
 
-    def _enter(self, era: int) -> None:
-        """Keep the records, whose offsets mean nothing in the new era."""
+    def _enter(self, era: int, end: int) -> None:
+        """Keep the records, whose offsets mean nothing in the new era.
+
+        What is not written again is not in the log below `end`.
+        """
         self.era = era
+        self._former.begin(era, end)
         self.is_diverged = False
         self.changed_offset = NO_VERSION
         self.next_offset = NO_VERSION
@@ -278,7 +279,9 @@
             for key, record in self.records.items()
         }
         self._changed_offsets = dict.fromkeys(self.records, NO_VERSION)
-        self._removed_offsets.clear()
+        self._removed.clear()
+        for record in self.records.values():
+            self._update_digest(record)
 
     def _adopt_whole(self, copy: TopicCopy) -> bool:
         is_first = not self.is_read
@@ -286,7 +289,8 @@
         missing_keys = self._missing_keys(listed, copy.next_offset)
         is_changed = self._merge(copy.records, copy.changed_offset)
         for key in missing_keys:
-            self._remove(key, copy.next_offset - 1)
+            is_lost = is_first and key not in copy.removed
+            self._remove(key, copy.next_offset - 1, is_lost=is_lost)
         self._advance(copy)
         self.is_diverged = False
         if is_first:
@@ -318,7 +322,9 @@
         """
         is_changed = False
         for offered in records:
-            record = self._former.substitute(offered) if self.era else offered
+            record = self._former.substitute(offered)
+            if record is None:
+                continue
             known = self.records.get(record.key)
             change = Change.REPEATED
             if known is None or known.payload != record.payload:
@@ -343,12 +349,13 @@
             if is_removed:
                 self._record_change(record)
             return is_removed
-        if self.era:
-            record = self._former.substitute(record)
-        change = self._compare(known, record)
+        usable = self._former.substitute(record)
+        if usable is None:
+            return False
+        change = self._compare(known, usable)
         if change is Change.STALE:
             return False
-        self._store(record, change)
+        self._store(usable, change)
         if change is Change.MATERIAL:
             self._changed_offsets[record.key] = record.offset
             self._record_change(record)
@@ -372,29 +379,39 @@
 
     def _store(self, record: KeyedRecord, change: Change) -> None:
         self.records[record.key] = record
+        self._former.forget(record.key)
         if change is Change.MATERIAL:
-            self._removed_offsets.pop(record.key, None)
-            self._digest.update(record.key, self._fingerprint(record))
+            self._removed.discard(record.key)
+            self._update_digest(record)
 
-    def _remove(self, key: str, offset: int) -> bool:
+    def _remove(self, key: str, offset: int, *, is_lost: bool = False) -> bool:
         """Remove a key, and keep a tombstone; false if it is unknown.
 
-        The key was removed at `offset` at the latest.
+        The key was removed at `offset` at the latest; `is_lost` if not by its
+        owner, but with a restoration of the store.
         """
         removed = self.records.pop(key, None)
         if removed is None:
             return False
-        self._former.remember(removed)
+        if is_lost:
+            self._former.remember_lost(removed)
+        else:
+            self._former.remember(removed)
         self._changed_offsets.pop(key, None)
         self._digest.remove(key)
-        self._removed_offsets[key] = offset
-        while len(self._removed_offsets) > MAX_TOMBSTONES:
-            oldest = min(
-                self._removed_offsets,
-                key=self._removed_offsets.__getitem__,
-            )
-            self._history_start = max(
-                self._history_start,
-                self._removed_offsets.pop(oldest) + 1,
-            )
+        self._history_start = max(
+            self._history_start, self._removed.add(key, offset)
+        )
         return True
+
+    def _update_digest(self, record: KeyedRecord) -> None:
+        """Replace the part of a record in the digest.
+
+        Once the store was restored, hosts may differ in whether a target drains
+        or has left, as they agree on what is in use.
+        """
+        is_final = self._rules.is_final(record)
+        if self.era and is_final and not self._rules.is_lasting(record):
+            self._digest.remove(record.key)
+        else:
+            self._digest.update(record.key, self._fingerprint(record))
--- a/foxtailreach/tests/dispatch/eras_tests.py
+++ b/foxtailreach/tests/dispatch/eras_tests.py
@@ -150,7 +150,7 @@
 
 def test_memory_of_removed_records_grows() -> None:
     """Targets leave for as long as a host runs."""
-    memory = FormerRecords(EraRules(is_remembered=lambda one: True))
+    memory = FormerRecords(EraRules())
     for index in range(MAX_FORMER_RECORDS + 5):
         memory.remember(record(f'k{index}', index))
     assert len(memory._records) == MAX_FORMER_RECORDS
