Follow the platform's store across a restoration from a copy

Cause: after a restoration the hosts read from offsets that meant other records, ignored what was written again, and never registered anew.

Change: each page carries the era of the Store-Era header (0 without it). A newer era or a 410 leads to a list of all keys; an answer of an older era counts as a failed call. The topics that are still of an older era are read next, and a poll at an offset of it is given up. Targets and evacuations that the restored store lacks stay in use for 2.5 s. A host whose registration was lost writes it again within 1 s. The fake stores can be restored.

--- a/foxtailreach/platform/feed.py
+++ b/foxtailreach/platform/feed.py
@@ -21,28 +21,28 @@
 
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import Deployment
+from foxtailreach.core.dispatch.eras import state_version
 from foxtailreach.core.dispatch.fleet import FleetNode
 from foxtailreach.core.dispatch.freshness import (
     APPLY_BOUND_US,
     FreshnessStep,
 )
 from foxtailreach.core.dispatch.host_messages import Effects
-from foxtailreach.core.dispatch.messages import KeyedRecord
-from foxtailreach.core.dispatch.mirror import StateMirror, TopicMirror
-from foxtailreach.core.dispatch.outages import OutageDetector
+from foxtailreach.core.dispatch.mirror import StateMirror
+from foxtailreach.core.dispatch.topic_mirror import TopicMirror
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
-from foxtailreach.exceptions import (
-    HistoryTrimmedError,
-    PlatformUnavailableError,
-)
+from foxtailreach.exceptions import PlatformUnavailableError
 from foxtailreach.gateway.peers import PeerEndpoint
 from foxtailreach.gateway.settings import GatewaySettings
 from foxtailreach.gateway.state_puller import StatePuller
 from foxtailreach.platform import records
 from foxtailreach.platform.long_poll import LongPoll
 from foxtailreach.platform.malformed import MALFORMED
+from foxtailreach.platform.registration import Registration
+from foxtailreach.platform.retainer import Retainer
 from foxtailreach.platform.store import StoreClient, TopicPage
+from foxtailreach.platform.topic_reader import fetch_topic
 
 # A draining target must get no requests from 2 s after its record is in the
 # store. The record is read within one interval, and notices reach the other
@@ -67,9 +67,6 @@
 # Readers send a notice every 0.7 s, so two were missed after this long.
 READER_SILENCE_US = 1500 * MILLISECOND_US
 MAX_LOGGED_FAULTS = 20
-# Targets that live renew their entries within 2 s of the store's return.
-RENEWAL_US = 2500 * MILLISECOND_US
-EXPIRY_MARGIN_US = 10 * MILLISECOND_US
 
 OnEffects = Callable[[Effects], None]
 
@@ -93,11 +90,18 @@
         self.mirror = records.create_mirror()
         self.last_read_us = 0
         self._is_store_up = True
-        self._outages = OutageDetector(settings.target_heartbeat_us)
-        # Until when targets renew entries that expired in the last outage, and
-        # the end of the log at the first read after it.
-        self._renewal_end_us = 0
-        self._returned_offset = 0
+        self._retainer = Retainer(
+            self.mirror,
+            settings.target_heartbeat_us,
+            boot_time_us,
+            self._apply_state,
+        )
+        self._registration = Registration(
+            store,
+            self.mirror.topics[records.HOSTS_TOPIC],
+            node.announcement,
+            rng,
+        )
         self._settings = settings
         self._entry = settings.entry
         self._store = store
@@ -149,6 +153,7 @@
         """Register this host; keep the mirror current until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register())
+            group.create_task(self._registration.keep())
             group.create_task(self._read_targets())
             group.create_task(self._poll_operator_topic())
             group.create_task(self._keep_fresh())
@@ -168,8 +173,10 @@
                 is_reading=message.is_reading,
             )
             if message.is_reading:
-                self._outages.record_read(message.log_offset, now_us)
-        self.mirror.follow(message.versions)
+                self._record_read_of_reader(message, now_us)
+        if self.mirror.follow(message.versions):
+            self._apply_hosts()
+            self._apply_state(sender)
         _mark_contradicted(self.mirror, sender, message.versions)
         if self.mirror.is_diverged or self.mirror.is_behind(message.versions):
             asyncio.ensure_future(
@@ -178,6 +185,18 @@
         if not self._lacks_operator_changes(message.versions):
             self._confirm(message.confirmed_age_us, now_us)
 
+    def _record_read_of_reader(
+        self, message: messages.StateNotice, now_us: int
+    ) -> None:
+        """Record up to where the reader has read the log of targets."""
+        for version in message.versions:
+            if version.topic == records.TARGETS_TOPIC:
+                self._retainer.record_read(
+                    message.log_offset, version.era, now_us
+                )
+                return
+        self._retainer.record_read(message.log_offset, 0, now_us)
+
     def notify_host(self, host_id: str) -> None:
         """Send a notice to a host of this failure domain.
 
@@ -200,17 +219,13 @@
         while not self._registered.is_set():
             sent_us = boot_time_us()
             try:
-                await self._store.append(
-                    topic,
-                    self._entry.host_id,
-                    records.encode_host(self._node.announcement()),
-                )
+                await self._registration.write()
                 page = await self._store.read_newest(topic)
             except PlatformUnavailableError as error:
                 self._record_failure(error, sent_us)
                 await asyncio.sleep(RETRY_INTERVAL_S * (1 + self._rng.random()))
                 continue
-            self.mirror.topics[topic].replace(page.records, page.next_offset)
+            self._fold(self.mirror.topics[topic], page)
             self._last_hosts_read_us = boot_time_us()
             self._apply_hosts()
             self._registered.set()
@@ -265,9 +280,10 @@
         """
         sent_us = boot_time_us()
         topic = self.mirror.topics[records.OPERATOR_TOPIC]
-        page = await self._fetch(topic, wait_us // MILLISECOND_US)
+        page = await fetch_topic(self._store, topic, wait_us // MILLISECOND_US)
         self._record_answer(sent_us)
         is_changed = self._fold(topic, page)
+        is_changed = self._retainer.end_removed(page) or is_changed
         if is_changed:
             self._apply_state('the store')
         if page.is_last:
@@ -355,11 +371,11 @@
         is_changed = await self._read_topic(topic)
         now_us = boot_time_us()
         interval_us = HOSTS_READ_INTERVAL_US
-        if now_us - self._started_us < STARTING_US:
+        hosts = self.mirror.topics[records.HOSTS_TOPIC]
+        if now_us - self._started_us < STARTING_US or hosts.era < topic.era:
             interval_us = 0
         if now_us - self._last_hosts_read_us > interval_us:
             self._last_hosts_read_us = now_us
-            hosts = self.mirror.topics[records.HOSTS_TOPIC]
             if await self._read_topic(hosts):
                 self._apply_hosts()
         self.last_read_us = now_us
@@ -374,15 +390,19 @@
 
     async def _read_topic(self, topic: TopicMirror) -> bool:
         """Bring one topic up to date; return whether something changed."""
-        page = await self._fetch(topic, 0)
+        page = await fetch_topic(self._store, topic, 0)
         if topic.name == records.TARGETS_TOPIC:
-            self._retain_expired(topic, page, boot_time_us())
+            self._retainer.retain_expired(topic, page, boot_time_us())
         return self._fold(topic, page)
 
     def _fold(self, topic: TopicMirror, page: TopicPage) -> bool:
         """Apply a page of the log; return whether something changed."""
         if page.is_whole:
-            return topic.replace(page.records, page.next_offset)
+            version = messages.TopicVersion(topic.name, 0, 0, 0, page.era)
+            known = self._retainer.known_before([version])
+            is_changed = topic.replace(page.records, page.next_offset, page.era)
+            self._retainer.retain_missing(known)
+            return is_changed
         # A copy of another host may have been adopted during the call.
         newer = [
             record
@@ -391,78 +411,24 @@
         ]
         return topic.fold(newer, page.next_offset)
 
-    async def _fetch(self, topic: TopicMirror, wait_ms: int) -> TopicPage:
-        if topic.is_read and not topic.is_diverged:
-            try:
-                return await self._store.read(
-                    topic.name,
-                    topic.next_offset,
-                    wait_ms,
-                )
-            except HistoryTrimmedError:
-                logger.info(
-                    'history of {} was trimmed, reading all its records',
-                    topic.name,
-                )
-        return await self._store.read_newest(topic.name)
-
-    def _retain_expired(
-        self, topic: TopicMirror, page: TopicPage, now_us: int
-    ) -> None:
-        """Retain targets whose entries expired in an outage of the store."""
-        removed = [topic.records[key] for key in _removed_keys(topic, page)]
-        if self._outages.was_away(
-            page.records, len(removed), page.next_offset, now_us
-        ):
-            self._renewal_end_us = now_us + RENEWAL_US
-            self._returned_offset = page.next_offset
-            logger.bind(next_offset=page.next_offset).info(
-                'store is back after an outage'
-            )
-        self._outages.record_read(page.next_offset, now_us)
-        expired = [
-            record
-            for record in removed
-            if now_us < self._renewal_end_us
-            # A target that was heard after the outage has left by itself.
-            and record.offset < self._returned_offset
-        ]
-        self._retain(expired, self._renewal_end_us - now_us)
-        if removed:
-            logger.bind(
-                targets=[record.key for record in removed],
-                retained=len(expired),
-                next_offset=page.next_offset,
-            ).info('targets left')
-
-    def _retain(self, removed: list[KeyedRecord], for_us: int) -> None:
-        """Use removed targets for some time more."""
-        if not removed:
-            return
-        self.mirror.retained.keep(removed, boot_time_us() + for_us)
-        # A little later, as the timer of the loop may fire early.
-        delay_s = (for_us + EXPIRY_MARGIN_US) / SECOND_US
-        asyncio.get_running_loop().call_later(delay_s, self._expire_retained)
-
-    def _expire_retained(self) -> None:
-        """Stop using the retained targets that were not renewed in time."""
-        expired = self.mirror.retained.expire(boot_time_us())
-        listed = self.mirror.topics[records.TARGETS_TOPIC].records
-        gone = [key for key in expired if key not in listed]
-        if gone:
-            logger.bind(targets=gone).info('targets not renewed')
-            self._apply_state('an expiry')
-
     def _record_answer(self, sent_us: int) -> None:
         """Record that the store answered a call that was sent at a time."""
         self._answered_sent_us = max(self._answered_sent_us, sent_us)
         is_return = not self._is_store_up
-        self._poll.record_answer(sent_us, is_return=is_return)
+        self._poll.record_answer(
+            sent_us, is_return=is_return or self._is_poll_outdated()
+        )
         if is_return:
             self._is_store_up = True
             self._node.election.record_recovery(self._entry.host_id)
             logger.info('store answers again')
 
+    def _is_poll_outdated(self) -> bool:
+        """Whether the poll waits for an offset of an older era."""
+        topics = self.mirror.topics
+        targets_era = topics[records.TARGETS_TOPIC].era
+        return targets_era > topics[records.OPERATOR_TOPIC].era
+
     def _record_failure(
         self, error: PlatformUnavailableError, sent_us: int
     ) -> None:
@@ -490,15 +456,17 @@
             for key in copy.retained
             if key in topic.records
         }
+        versions = [one.version for one in copy.topics]
+        known_before = self._retainer.known_before(versions)
         is_changed = self.mirror.adopt(copy.topics)
         removed = [
             record for key, record in known.items() if key not in topic.records
         ]
-        self._retain(removed, copy.retained_for_us)
+        self._retainer.retain(removed, copy.retained_for_us)
+        self._retainer.retain_missing(known_before)
         if is_changed:
             self._apply_hosts()
             self._apply_state(sender)
-        versions = [one.version for one in copy.topics]
         if self.mirror.contradicted(versions):
             # The sender may lack what this host holds.
             self._peers.send(sender, self._notice(boot_time_us()))
@@ -519,15 +487,18 @@
             for version in versions
             if version.topic == records.OPERATOR_TOPIC
         ]
-        return self.mirror.is_behind(operator_versions) or bool(
-            self.mirror.contradicted(operator_versions)
+        era = self.mirror.topics[records.OPERATOR_TOPIC].era
+        return (
+            self.mirror.is_behind(operator_versions)
+            or any(version.era != era for version in operator_versions)
+            or bool(self.mirror.contradicted(operator_versions))
         )
 
     def _apply_state(self, source: str) -> None:
         """Decode the mirrored state and update the node with it."""
         previous = self._node.deployment
         targets_topic = self.mirror.topics[records.TARGETS_TOPIC]
-        self.mirror.retained.discard(targets_topic.records)
+        self._retainer.end_renewed()
         deployment = records.decode_deployment(self.mirror) or previous
         targets = records.decode_targets(self.mirror)
         evacuated = records.decode_evacuated(self.mirror)
@@ -538,7 +509,7 @@
             targets,
             evacuated,
             boot_time_us(),
-            targets_topic.changed_offset,
+            state_version(targets_topic.era, targets_topic.changed_offset),
         )
         self._on_effects(effects)
         if deployment is not None and deployment is not previous:
@@ -554,6 +525,7 @@
         for registration in registrations:
             self._peers.add_host(registration.entry)
         self._on_effects(self._node.update_hosts(registrations, boot_time_us()))
+        self._registration.check()
 
     def _notify_domain(self) -> None:
         self._last_notice_us = boot_time_us()
@@ -591,24 +563,6 @@
         ).warning('content differs from that of {}', sender)
 
 
-def _removed_keys(topic: TopicMirror, page: TopicPage) -> list[str]:
-    """Return the known keys that a page removes."""
-    newest = {record.key: record for record in page.records}
-    if page.is_whole:
-        return [
-            record.key
-            for record in topic.records.values()
-            if record.key not in newest and record.offset < page.next_offset
-        ]
-    return [
-        record.key
-        for record in newest.values()
-        if not record.payload
-        and record.key in topic.records
-        and record.offset > topic.records[record.key].offset
-    ]
-
-
 def _log_faults(deployment: Deployment) -> None:
     """Log the parts of a configuration that cannot be used as written."""
     for fault in deployment.faults[:MAX_LOGGED_FAULTS]:
--- a/foxtailreach/platform/records.py
+++ b/foxtailreach/platform/records.py
@@ -16,6 +16,7 @@
     RouteSpec,
     TargetSpec,
 )
+from foxtailreach.core.dispatch.eras import EraRules
 from foxtailreach.core.dispatch.messages import HostAnnounced, KeyedRecord
 from foxtailreach.core.dispatch.mirror import (
     Change,
@@ -57,8 +58,25 @@
     """Create an empty mirror of the topics that hosts need."""
     return StateMirror(
         (
-            TopicMirror(OPERATOR_TOPIC, _classify_operator),
-            TopicMirror(TARGETS_TOPIC, classify_target, _target_fingerprint),
+            TopicMirror(
+                OPERATOR_TOPIC,
+                _classify_operator,
+                rules=EraRules(
+                    is_older=_is_older_configuration,
+                    is_final=_is_configuration,
+                    is_lasting=_is_configuration,
+                ),
+            ),
+            TopicMirror(
+                TARGETS_TOPIC,
+                classify_target,
+                _target_fingerprint,
+                EraRules(
+                    is_older=_is_older_entry,
+                    is_final=_is_draining,
+                    is_same_start=_is_entry_of_same_start,
+                ),
+            ),
             TopicMirror(HOSTS_TOPIC, _classify_host),
         ),
     )
@@ -71,10 +89,16 @@
 
 
 def decode_evacuated(mirror: StateMirror) -> frozenset[str]:
-    """Return the failure domains that operators have evacuated."""
+    """Return the failure domains that operators have evacuated.
+
+    An evacuation that a restored store lacks counts for a while.
+    """
     return frozenset(
         key.removeprefix(EVACUATION_PREFIX)
-        for key in mirror.topics[OPERATOR_TOPIC].records
+        for key in (
+            *mirror.topics[OPERATOR_TOPIC].records,
+            *mirror.retained_orders.keys,
+        )
         if key.startswith(EVACUATION_PREFIX)
     )
 
@@ -94,12 +118,17 @@
     """Return the registered hosts; skip malformed registrations."""
     hosts = []
     for record in mirror.topics[HOSTS_TOPIC].records.values():
-        registration = _decode_host(record.payload)
+        registration = decode_host(record)
         if registration is not None:
             hosts.append(registration)
     return hosts
 
 
+def decode_host(record: KeyedRecord) -> HostAnnounced | None:
+    """Decode the registration of a host; None if it is malformed."""
+    return _decode_host(record.payload)
+
+
 def encode_host(registration: HostAnnounced) -> bytes:
     """Encode the registration of a host."""
     entry = registration.entry
@@ -172,6 +201,61 @@
     return Change.MATERIAL
 
 
+def _is_configuration(record: KeyedRecord) -> bool:
+    return record.key == CONFIGURATION_KEY
+
+
+def _is_older_configuration(known: KeyedRecord, other: KeyedRecord) -> bool:
+    """Tell whether a configuration has a lower version than a known one."""
+    if other.key != CONFIGURATION_KEY:
+        return False
+    current = _decode_configuration(known.payload)
+    offered = _decode_configuration(other.payload)
+    if current is None or offered is None:
+        return False
+    return offered.version < current.version
+
+
+def _is_draining(record: KeyedRecord) -> bool:
+    target = decode_target(record)
+    return target is not None and target.is_draining
+
+
+def _is_older_entry(known: KeyedRecord, other: KeyedRecord) -> bool:
+    """Tell whether a target's entry is outdated by one of any era.
+
+    A target that drains does so until it starts again; it may have to write
+    that again, and hosts may read an older or malformed entry of it before.
+    """
+    known_order, other_order = _lasting_order(known), _lasting_order(other)
+    if known_order is None:
+        return False
+    if other_order is None:
+        return _is_draining(known)
+    return other_order < known_order
+
+
+def _is_entry_of_same_start(left: KeyedRecord, other: KeyedRecord) -> bool:
+    """Tell whether an entry says that a process that has left is ready."""
+    former, listed = decode_target(left), decode_target(other)
+    if former is None or listed is None or listed.is_draining:
+        return False
+    return 0 < listed.started_ms <= former.started_ms
+
+
+def _lasting_order(record: KeyedRecord) -> tuple[int, bool, int] | None:
+    """Order entries by start, draining and heartbeat; None if malformed.
+
+    Without the time of its start, a target cannot show that it started again.
+    """
+    entry = _decode_entry(record.key, record.payload)
+    if entry.order is None or entry.target is None:
+        return None
+    started_ms, heartbeats = entry.order
+    is_final = entry.target.is_draining and started_ms > 0
+    return (started_ms, is_final, heartbeats)
+
+
 def _classify_host(known: KeyedRecord | None, newer: KeyedRecord) -> Change:
     if known is not None and known.payload == newer.payload:
         return Change.REPEATED
--- a/foxtailreach/platform/store.py
+++ b/foxtailreach/platform/store.py
@@ -14,6 +14,7 @@
 from tornado.netutil import Resolver
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from foxtailreach.core.dispatch.eras import MAX_ERA
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.exceptions import (
     HistoryTrimmedError,
@@ -36,6 +37,10 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 TOPIC_PARTITION = 0
 MAX_LOGGED_LENGTH = 200
+# Counts how often the store was restored from a copy; see
+# docs/design/store-eras.md.
+ERA_HEADER = 'Store-Era'
+MAX_ERA_DIGITS = 9
 _LENGTH = struct.Struct('!I')
 _PAGE_HEADER = struct.Struct('!QQ')
 _GONE = 410
@@ -47,13 +52,15 @@
     """Records of a topic, and the offset after the newest one.
 
     `is_whole` if they are the newest record of each key, not a part of the log;
-    `is_last` if the log held no further records.
+    `is_last` if the log held no further records. `era` counts how often the
+    store came back from a copy; offsets of different eras cannot be compared.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     is_whole: bool = False
     is_last: bool = True
+    era: int = 0
 
 
 class StoreClient:
@@ -92,7 +99,7 @@
         if answer.code == _GONE:
             raise HistoryTrimmedError(f'{topic} was trimmed past {offset}')
         try:
-            return _decode_page(topic, answer.body, offset)
+            return _decode_page(topic, answer.body, offset, _read_era(answer))
         except (struct.error, IndexError) as error:
             raise PlatformUnavailableError(
                 f'malformed records of {topic}: {error!r}',
@@ -101,14 +108,20 @@
     async def read_newest(self, topic: str) -> TopicPage:
         """Read the newest record of each key of a topic, page by page.
 
-        Raises PlatformUnavailableError if a call fails or an answer is
-        malformed.
+        Raises PlatformUnavailableError if a call fails, an answer is malformed,
+        or the store was restored between two pages.
         """
         records: list[KeyedRecord] = []
         query: dict[str, Any] = {'topic': topic, 'part': TOPIC_PARTITION}
         end = 0
+        eras: set[int] = set()
         while True:
             answer = await self._call('log-newest', query)
+            eras.add(_read_era(answer))
+            if len(eras) > 1:
+                raise PlatformUnavailableError(
+                    f'{topic} was restored while it was listed',
+                )
             try:
                 page = _decode_list(topic, answer.body, query.get('after', ''))
             except ProtocolError as error:
@@ -118,7 +131,9 @@
             records.extend(page.records)
             end = end or page.end
             if not page.next_key:
-                return TopicPage(tuple(records), end, is_whole=True)
+                return TopicPage(
+                    tuple(records), end, is_whole=True, era=min(eras)
+                )
             query['after'] = page.next_key
 
     async def append(self, topic: str, key: str, payload: bytes) -> None:
@@ -174,7 +189,23 @@
         return [(socket.AF_INET, (host, port))]
 
 
-def _decode_page(topic: str, body: bytes, offset: int) -> TopicPage:
+def _read_era(answer: HTTPResponse) -> int:
+    """Return the era of the store that an answer names; 0 if it names none.
+
+    Raises PlatformUnavailableError if it is no era.
+    """
+    text = answer.headers.get(ERA_HEADER, '0')
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > MAX_ERA_DIGITS or int(text) > MAX_ERA:
+        raise PlatformUnavailableError(
+            f'malformed era {text[:MAX_LOGGED_LENGTH]!r}',
+        )
+    return int(text)
+
+
+def _decode_page(
+    topic: str, body: bytes, offset: int, era: int = 0
+) -> TopicPage:
     end, first = _PAGE_HEADER.unpack_from(body)
     del first
     records = []
@@ -186,7 +217,10 @@
             records.append(record)
     # The size of an answer is limited.
     return TopicPage(
-        tuple(records), next_offset, is_last=next_offset >= int(end)
+        tuple(records),
+        next_offset,
+        is_last=next_offset >= int(end),
+        era=era,
     )
 
 
--- a/foxtailreach/testing/platform.py
+++ b/foxtailreach/testing/platform.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
+from asyncio import Future
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -69,18 +71,32 @@
 
 
 class PlatformState:
-    """Streams, host list and simulated faults."""
+    """Streams, host list and simulated faults.
+
+    `era` counts how often the streams were restored from a copy. All responses
+    name it, once it is not 0.
+    """
 
     def __init__(self) -> None:
         """Start with an empty log and no hosts."""
         self.streams: dict[str, Stream] = {}
         self.hosts: dict[str, HostEntry] = {}
         self.faults = PlatformFaults()
+        self.era = 0
 
     def stream(self, name: str) -> Stream:
         """Return a stream, which is created on first use."""
         return self.streams.setdefault(name, Stream())
 
+    def copy(self) -> dict[str, Stream]:
+        """Return a copy of all streams, for `restore`."""
+        return copy.deepcopy(self.streams)
+
+    def restore(self, streams: dict[str, Stream]) -> None:
+        """Come back from a copy, without the records appended since."""
+        self.streams = copy.deepcopy(streams)
+        self.era += 1
+
 
 class _PlatformHandler(RequestHandler):
     """Base handler that applies the simulated faults."""
@@ -99,6 +115,12 @@
     def set_default_headers(self) -> None:
         self.set_header('Content-Type', 'application/json')
 
+    def finish(self, *chunks: Any) -> Future[None]:
+        """Name the era of the streams in each response."""
+        if self.state.era:
+            self.set_header('Store-Era', str(self.state.era))
+        return super().finish(*chunks)
+
 
 class _StreamHandler(_PlatformHandler):
     def get(self, name: str) -> None:
--- a/foxtailreach/tests/platform/fakes.py
+++ b/foxtailreach/tests/platform/fakes.py
@@ -25,6 +25,7 @@
 
     `first_offsets` are the oldest offsets that are not trimmed; `calls` are
     the names of the calls so far. The next `refusals_left` calls are refused.
+    All answers name the `era`, unless it is 0 as before the first restoration.
     """
 
     def __init__(self) -> None:
@@ -32,6 +33,7 @@
         self.first_offsets: dict[str, int] = defaultdict(int)
         self.is_down = False
         self.refusals_left = 0
+        self.era = 0
         self.calls: list[str] = []
         self._changed = asyncio.Condition()
         sock, self.port = bind_unused_port()
@@ -55,6 +57,16 @@
             self.topics[topic].append((key, payload))
             self._changed.notify_all()
 
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return a copy of all topics, for `restore`."""
+        return {topic: list(log) for topic, log in self.topics.items()}
+
+    def restore(self, copied: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Come back from a copy, without the writes made since."""
+        self.era += 1
+        self.topics.clear()
+        self.topics.update({topic: list(log) for topic, log in copied.items()})
+
     async def wait_for(self, topic: str, offset: int, wait_ms: int) -> None:
         """Wait until a topic has a record at `offset`, or for `wait_ms`."""
 
@@ -91,6 +103,8 @@
         self.store = store
 
     def prepare(self) -> None:
+        if self.store.era:
+            self.set_header('Store-Era', str(self.store.era))
         self.store.calls.append(self.request.path.rpartition('/')[2])
         is_refused = self.store.refusals_left > 0
         self.store.refusals_left -= is_refused
@@ -105,13 +119,17 @@
             self.write({'items': items, 'more': False, 'end': end})
             return
         offset = int(self.get_query_argument('from'))
-        if offset < self.store.first_offsets[topic]:
+        end = len(self.store.topics[topic])
+        if not self.store.first_offsets[topic] <= offset <= end:
             self.set_status(410)
             self.write({'first': self.store.first_offsets[topic]})
             return
         wait_ms = int(self.get_query_argument('wait_ms', '0'))
         if wait_ms:
             await self.store.wait_for(topic, offset, wait_ms)
+        if self.store.era:
+            # It may have been restored during the wait.
+            self.set_header('Store-Era', str(self.store.era))
         records = self.store.topics[topic]
         self.write(
             struct.pack('!QQ', len(records), self.store.first_offsets[topic])
--- a/foxtailreach/tests/platform/state_replay.py
+++ b/foxtailreach/tests/platform/state_replay.py
@@ -27,7 +27,10 @@
 from foxtailreach.core.dispatch.messages import KeyedRecord
 from foxtailreach.core.messages import HostEntry
 from foxtailreach.core.units import SECOND_US
-from foxtailreach.exceptions import PlatformUnavailableError
+from foxtailreach.exceptions import (
+    HistoryTrimmedError,
+    PlatformUnavailableError,
+)
 from foxtailreach.gateway import state_puller
 from foxtailreach.gateway.settings import Address, GatewaySettings
 from foxtailreach.platform import feed as feed_module
@@ -58,7 +61,7 @@
     """The platform's store; calls that meet a silence are never answered.
 
     `refused` are hosts whose calls fail at once, `cut_off` those whose calls
-    get no answer.
+    get no answer. `era` counts restorations, see `restored_store`.
     """
 
     def __init__(self, loop: VirtualTimeLoop) -> None:
@@ -66,6 +69,7 @@
         self.loop = loop
         self.topics: dict[str, list[KeyedRecord]] = {}
         self.is_silent = False
+        self.era = 0
         self.refused: set[str] = set()
         self.cut_off: set[str] = set()
         self.calls = 0
@@ -132,7 +136,10 @@
         async def answer() -> TopicPage:
             await self._store.wait(topic, offset, wait_ms)
             log = self._store.topics.get(topic, [])
-            return TopicPage(tuple(log[offset:]), max(offset, len(log)))
+            if offset > len(log):
+                raise HistoryTrimmedError(topic)
+            era = self._store.era
+            return TopicPage(tuple(log[offset:]), len(log), era=era)
 
         return await self._call(answer(), wait_ms / 1000)
 
@@ -143,7 +150,8 @@
             log = self._store.topics.get(topic, [])
             newest = {record.key: record for record in log}
             kept = tuple(one for one in newest.values() if one.payload)
-            return TopicPage(kept, len(log), is_whole=True)
+            era = self._store.era
+            return TopicPage(kept, len(log), is_whole=True, era=era)
 
         return await self._call(answer())
 
@@ -174,7 +182,11 @@
         if is_lost:
             answer.close()
         else:
-            page = await answer
+            try:
+                page = await answer
+            except HistoryTrimmedError:
+                if store.silence_count(self._host_id) == known:
+                    raise
             is_lost = store.silence_count(self._host_id) != known
         if not is_lost:
             return page
