Give each refused request its own time of return

Cause: a refused caller was told the time that the queue needs to drain plus up to half of it, up to 7.5 s, so that callers refused in the same moment returned together, and most were told more than they wait.

Change: a schedule gives each request that is refused for lack of capacity a place, by the work ahead of it and the slots that new work of better ranks leaves. Callers of a rank return in the order of their refusals, no interval of 100 ms holds more work than these slots can do, and jitter stays within the place. Retry-After is 0.2 to 5 s, and at most a third of the remaining time if the request can still be served then. Other refusals keep their delay, at most 5 s. A tenth of the slots instead of a twentieth is always expected to be left by better ranks.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -656,20 +656,25 @@
         self, waiter: Waiter, room: int, now_us: int
     ) -> messages.SendHost:
         self._outcomes.record_request(now_us, is_served=False)
+        room = room or self._room(now_us)
         slot_request = waiter.slot_request
         customer = slot_request.customer
         queue = self._queue
+        deadline_us = waiter.last_start_us + waiter.work_us
         inputs = OverloadInputs(
             customer=customer,
             priority=slot_request.priority,
+            time_left_us=deadline_us - now_us,
             wait_us=queue.wait_us(waiter, max(1, room), now_us),
+            drain_us=queue.drain_us(waiter, max(1, room), now_us),
             work_us=waiter.work_us,
             queued_work_us=queue.work_us,
             room=room,
+            room_left=queue.room_left(waiter, room, now_us),
             share=queue.shares.share(customer),
         )
         return self.refusals.refuse_overload(
-            waiter.host_id, slot_request, inputs
+            waiter.host_id, slot_request, inputs, now_us
         )
 
 
--- a/foxtailreach/core/dispatch/inflow.py
+++ b/foxtailreach/core/dispatch/inflow.py
@@ -15,7 +15,7 @@
 AVERAGE_US = SECOND_US
 # A burst may end before the deadline of the request, so that some of the slots
 # are always expected to be left to it.
-MIN_ROOM_SHARE = 0.05
+MIN_ROOM_SHARE = 0.1
 
 # Whether a request is surplus to a limit, and its priority.
 ArrivalRank = tuple[int, int]
--- a/foxtailreach/core/dispatch/refusals.py
+++ b/foxtailreach/core/dispatch/refusals.py
@@ -9,11 +9,14 @@
 
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.messages import RefusalCause
+from foxtailreach.core.dispatch.return_times import (
+    MAX_RETRY_AFTER_US,
+    MIN_RETRY_AFTER_US,
+    ReturnRequest,
+    ReturnSchedule,
+)
 from foxtailreach.core.dispatch.target_record import TargetRecord, TargetStatus
-from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
-MIN_RETRY_AFTER_US = 200 * MILLISECOND_US
-MAX_RETRY_AFTER_US = 5 * SECOND_US
 # Jitter: adds up to half of the retry delay.
 RETRY_SPREAD = 0.5
 
@@ -22,17 +25,21 @@
 class OverloadInputs:
     """What a refusal for lack of capacity was decided by.
 
-    `wait_us` is the expected wait until a start, `work_us` the expected
-    service time, `room` the number of slots to count on, `share` that of the
-    customer in the recent use of slots.
+    `wait_us` is the expected wait until a start, `drain_us` that without new
+    requests, `work_us` the expected service time, `room` the number of slots
+    to count on, `room_left` those not needed for new work of better ranks,
+    `share` that of the customer in the recent use of slots.
     """
 
     customer: str
     priority: int
+    time_left_us: int
     wait_us: int
+    drain_us: int
     work_us: int
     queued_work_us: int
     room: int
+    room_left: float
     share: float
 
 
@@ -43,11 +50,12 @@
     newest refusal for lack of capacity.
     """
 
-    __slots__ = ('_rng', 'counts', 'last_overload')
+    __slots__ = ('_rng', '_schedule', 'counts', 'last_overload')
 
     def __init__(self, rng: random.Random) -> None:
         """Create the counts; `rng` draws the jitter of retries."""
         self._rng = rng
+        self._schedule = ReturnSchedule(rng)
         self.counts: Counter[RefusalCause] = Counter()
         self.last_overload: OverloadInputs | None = None
 
@@ -59,7 +67,8 @@
         wait_us: int = MIN_RETRY_AFTER_US,
     ) -> messages.SendHost:
         """Refuse a request; its caller should retry after about `wait_us`."""
-        base_us = min(MAX_RETRY_AFTER_US, max(MIN_RETRY_AFTER_US, wait_us))
+        longest_us = int(MAX_RETRY_AFTER_US / (1 + RETRY_SPREAD))
+        base_us = min(longest_us, max(MIN_RETRY_AFTER_US, wait_us))
         retry_after_us = int(base_us * (1 + RETRY_SPREAD * self._rng.random()))
         return self._send(host_id, request, cause, retry_after_us)
 
@@ -68,11 +77,23 @@
         host_id: str,
         request: messages.SlotRequest,
         inputs: OverloadInputs,
+        now_us: int,
     ) -> messages.SendHost:
         """Refuse a request for lack of capacity."""
         self.last_overload = inputs
-        return self.refuse(
-            host_id, request, RefusalCause.OVERLOAD, inputs.wait_us
+        retry_after_us = self._schedule.place(
+            ReturnRequest(
+                rank=(request.is_surplus, request.priority),
+                work_us=inputs.work_us,
+                wait_us=inputs.drain_us,
+                time_left_us=inputs.time_left_us,
+                room=inputs.room,
+                room_left=inputs.room_left,
+            ),
+            now_us,
+        )
+        return self._send(
+            host_id, request, RefusalCause.OVERLOAD, retry_after_us
         )
 
     def refuse_paused(
--- a/foxtailreach/core/dispatch/wait_queue.py
+++ b/foxtailreach/core/dispatch/wait_queue.py
@@ -163,6 +163,14 @@
             wait_us = max(wait_us, int(ahead_us / left))
         return wait_us
 
+    def room_left(self, waiter: Waiter, room: int, now_us: int) -> float:
+        """Return the slots that new work of better ranks leaves to a request.
+
+        The request counts as one in time, as it may be when it returns.
+        """
+        is_surplus, _, priority = waiter.rank
+        return self._room_left((is_surplus, False, priority), room, now_us)
+
     def drain_us(self, waiter: Waiter, room: int, now_us: int) -> int:
         """Return the time in which the present work ahead is served."""
         ahead_us = self._ahead_us(waiter, waiter.rank, now_us)
