Log refusals with their inputs and count them by cause

Cause: an operator could not see what a refusal for lack of capacity was decided by, nor how much work waits.

Change: a broker logs its newest refusal with the estimate, the slots and the customer's share, each service at most once a second. Metrics have the waiting work and the refusals by cause of each service. The replay of an overload can have targets that fail.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -32,6 +32,7 @@
 from foxtailreach.core.dispatch.refusals import (
     OverloadInputs,
     Refusals,
+    accept_requests,
     count_room,
 )
 from foxtailreach.core.dispatch.target_notices import TargetNotice
@@ -177,6 +178,11 @@
         """Count the requests that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def queued_work_us(self) -> int:
+        """Return the expected service time of the requests that wait."""
+        return self._queue.work_us
+
     def coverage(self, now_us: int) -> CoverageDemand:
         """Return the present demand for coverage of the targets."""
         return self._outcomes.demand(len(self.records), now_us)
@@ -414,7 +420,7 @@
         if pause_us:
             self._outcomes.record_request(now_us, is_served=False)
             return [self.refusals.refuse_paused(host_id, request, pause_us)]
-        if not self._accepts_requests(now_us):
+        if not accept_requests(self.records.values(), now_us):
             cause = RefusalCause.NO_TARGET
             self._outcomes.record_request(now_us, is_served=False)
             return [self.refusals.refuse(host_id, request, cause)]
@@ -619,14 +625,6 @@
         if record is not None:
             record.release((host_id, ask_id))
 
-    def _accepts_requests(self, now_us: int) -> bool:
-        return any(
-            record.spec.slots
-            and record.accepts_work
-            and not record.is_paused(now_us)
-            for record in self.records.values()
-        )
-
     def _room(self, now_us: int) -> int:
         return count_room(
             self.records.values(),
@@ -657,24 +655,9 @@
     ) -> messages.SendHost:
         self._outcomes.record_request(now_us, is_served=False)
         room = room or self._room(now_us)
-        slot_request = waiter.slot_request
-        customer = slot_request.customer
-        queue = self._queue
-        deadline_us = waiter.last_start_us + waiter.work_us
-        inputs = OverloadInputs(
-            customer=customer,
-            priority=slot_request.priority,
-            time_left_us=deadline_us - now_us,
-            wait_us=queue.wait_us(waiter, max(1, room), now_us),
-            drain_us=queue.drain_us(waiter, max(1, room), now_us),
-            work_us=waiter.work_us,
-            queued_work_us=queue.work_us,
-            room=room,
-            room_left=queue.room_left(waiter, room, now_us),
-            share=queue.shares.share(customer),
-        )
+        inputs = OverloadInputs.from_queue(self._queue, waiter, room, now_us)
         return self.refusals.refuse_overload(
-            waiter.host_id, slot_request, inputs, now_us
+            waiter.host_id, waiter.slot_request, inputs, now_us
         )
 
 
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -355,12 +355,12 @@
         new_effects.extend(self._decide_held_charges(now_us))
         new_effects.extend(self._check_holders(now_us))
         new_effects.extend(self._brokers.tick(self._digest_recipients, now_us))
-        new_effects.extend(self._brokers.coverage_notes(now_us))
+        new_effects.extend(self._brokers.notes(now_us))
         return new_effects
 
-    def queue_lengths(self) -> dict[str, int]:
-        """Return the number of waiting requests of each brokered service."""
-        return self._brokers.queue_lengths()
+    def queue_gauges(self) -> dict[str, int]:
+        """Return waiting requests, their work and refusals of each service."""
+        return self._brokers.queue_gauges()
 
     def _record_heard(self, sender: str, now_us: int) -> None:
         if self.is_isolated(now_us):
--- a/foxtailreach/core/dispatch/refusals.py
+++ b/foxtailreach/core/dispatch/refusals.py
@@ -16,6 +16,8 @@
     ReturnSchedule,
 )
 from foxtailreach.core.dispatch.target_record import TargetRecord, TargetStatus
+from foxtailreach.core.dispatch.wait_queue import WaitQueue
+from foxtailreach.core.dispatch.waiter import Waiter
 
 # Jitter: adds up to half of the retry delay.
 RETRY_SPREAD = 0.5
@@ -42,6 +44,26 @@
     room_left: float
     share: float
 
+    @classmethod
+    def from_queue(
+        cls, queue: WaitQueue, waiter: Waiter, room: int, now_us: int
+    ) -> OverloadInputs:
+        """Estimate what a request that is or was not queued would wait for."""
+        slot_request = waiter.slot_request
+        slots = max(1, room)
+        return cls(
+            customer=slot_request.customer,
+            priority=slot_request.priority,
+            time_left_us=waiter.last_start_us + waiter.work_us - now_us,
+            wait_us=queue.wait_us(waiter, slots, now_us),
+            drain_us=queue.drain_us(waiter, slots, now_us),
+            work_us=waiter.work_us,
+            queued_work_us=queue.work_us,
+            room=room,
+            room_left=queue.room_left(waiter, room, now_us),
+            share=queue.shares.share(slot_request.customer),
+        )
+
 
 class Refusals:
     """Refuses requests of one service.
@@ -59,6 +81,25 @@
         self.counts: Counter[RefusalCause] = Counter()
         self.last_overload: OverloadInputs | None = None
 
+    def describe_new(self) -> str:
+        """Describe the newest refusal for lack of capacity, once.
+
+        Return '' if there is none since the last call.
+        """
+        inputs = self.last_overload
+        self.last_overload = None
+        if inputs is None:
+            return ''
+        return (
+            f'short of slots: {self.counts[RefusalCause.OVERLOAD]} refused, '
+            f'the last of priority {inputs.priority} and customer '
+            f'{inputs.customer!r}: {inputs.work_us} us of service time after '
+            f'{inputs.wait_us} us, {inputs.time_left_us} us left, '
+            f'{inputs.queued_work_us} us of work waiting, '
+            f'{inputs.drain_us} us to drain what is ahead by {inputs.room} '
+            f'slots, customer uses {inputs.share:.3f} of them'
+        )
+
     def refuse(
         self,
         host_id: str,
@@ -124,6 +165,16 @@
     return pause_us + int(rng.random() * max(MIN_RETRY_AFTER_US, spread_us))
 
 
+def accept_requests(records: Iterable[TargetRecord], now_us: int) -> bool:
+    """Tell whether there is a target that accepts requests now."""
+    return any(
+        record.spec.slots
+        and record.accepts_work
+        and not record.is_paused(now_us)
+        for record in records
+    )
+
+
 def count_room(
     records: Iterable[TargetRecord],
     service_us: int,
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -39,6 +39,7 @@
     last_request_us: int = 0
     last_digest_us: int = 0
     last_note_us: int = 0
+    last_refusal_note_us: int = 0
     noted_scope: CoverageScope = CoverageScope.NONE
 
 
@@ -199,7 +200,11 @@
                 )
         return new_effects
 
-    def coverage_notes(self, now_us: int) -> list[effects.Note]:
+    def notes(self, now_us: int) -> list[effects.Note]:
+        """Describe changes of the coverage, and refusals."""
+        return [*self._coverage_notes(now_us), *self._refusal_notes(now_us)]
+
+    def _coverage_notes(self, now_us: int) -> list[effects.Note]:
         """Describe changes of the coverage, at most one in a second."""
         notes = []
         for service, entry in self._entries.items():
@@ -217,12 +222,27 @@
                 )
         return notes
 
-    def queue_lengths(self) -> dict[str, int]:
-        """Return the number of waiting requests of each service."""
-        return {
-            service: entry.broker.queue_length
-            for service, entry in self._entries.items()
-        }
+    def _refusal_notes(self, now_us: int) -> list[effects.Note]:
+        """Describe the newest refusals, each service at most once a second."""
+        notes = []
+        for service, entry in self._entries.items():
+            if now_us - entry.last_refusal_note_us > NOTE_INTERVAL_US:
+                detail = entry.broker.refusals.describe_new()
+                if detail:
+                    entry.last_refusal_note_us = now_us
+                    notes.append(effects.Note('queue', service, detail))
+        return notes
+
+    def queue_gauges(self) -> dict[str, int]:
+        """Return waiting requests and work, and refusals, of each service."""
+        gauges = {}
+        for service, entry in self._entries.items():
+            broker = entry.broker
+            gauges[f'waiting_{service}'] = broker.queue_length
+            gauges[f'waiting_work_us_{service}'] = broker.queued_work_us
+            for cause, count in broker.refusals.counts.items():
+                gauges[f'refused_{cause}_{service}'] = count
+        return gauges
 
     def _entry_for(self, service: str, now_us: int) -> BrokerEntry | None:
         deployment = self._deployment
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -267,8 +267,7 @@
             'log_lines_dropped': self._log_writer.dropped,
             'log_lines_left_out': self._routine_lines.left_out,
         }
-        for service, count in self._node.queue_lengths().items():
-            gauges[f'waiting_{service}'] = count
+        gauges.update(self._node.queue_gauges())
         _answer(request, HTTPStatus.OK, self._metrics.render(gauges))
 
     def _config_version(self) -> int:
--- a/foxtailreach/tests/dispatch/overload_replay.py
+++ b/foxtailreach/tests/dispatch/overload_replay.py
@@ -13,9 +13,11 @@
 from dataclasses import dataclass, field, replace
 
 from foxtailreach.core.dispatch import messages
+from foxtailreach.core.dispatch.messages import SendOutcome
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.tests.dispatch.fixtures import (
     START_US,
+    FailurePeriods,
     create_broker,
     grants,
     refusals,
@@ -31,6 +33,9 @@
 EAGER_RETRY_US = 50 * MILLISECOND_US
 EAGER_RETRIES = 10
 PATIENCE_SHARE = 1 / 3
+# A failing target fails this share of its requests, after this time.
+FAILING_SHARE = 0.85
+FAILURE_US = 5 * MILLISECOND_US
 TICK_US = 100 * MILLISECOND_US
 
 
@@ -58,11 +63,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Overload:
-    """`load` is relative to the capacity; eager callers do not wait."""
+    """`load` is relative to the capacity; eager callers do not wait.
+
+    With failures, each target fails 85% of its requests during 30% of the time.
+    """
 
     load: float
     eager_share: float = 0
     eager_customer: str = ''
+    has_failures: bool = False
     is_first_come: bool = False
     duration_s: int = 12
 
@@ -104,11 +113,18 @@
     calls: list[Call] = field(default_factory=list)
     returns_per_s: Counter[int] = field(default_factory=Counter)
     retry_after_us: list[int] = field(default_factory=list)
+    _failures: list[list[tuple[float, float]]] = field(
+        default_factory=lambda: [[] for _ in range(TARGETS)]
+    )
 
     def run(self) -> OverloadReplay:
         """Send all requests and wait for their ends."""
         rng = random.Random(self.seed)
         broker = create_broker(TARGETS, slots=SLOTS)
+        if self.overload.has_failures:
+            horizon_s = self.overload.duration_s + 11
+            periods = FailurePeriods(6.3, 2.7, random.Random(1), horizon_s)
+            self._failures = periods.draw(TARGETS)
         numbers = itertools.count(1)
         sent: dict[int, Call] = {}
         events: list[tuple[int, int, Call | messages.SlotReport | None]] = []
@@ -133,13 +149,12 @@
                 case _:
                     call = sent[event.ask_id]
                     call.ended_us = now_us
-                    call.is_served = now_us <= call.deadline_us
+                    is_served = event.outcome is SendOutcome.SERVED
+                    call.is_served = is_served and now_us <= call.deadline_us
                     new_effects = broker.report('h1', event, now_us)
             for grant in grants(new_effects):
-                mean_us = sent[grant.ask_id].kind.work_ms * MILLISECOND_US
-                latency_us = int(mean_us * rng.uniform(0.7, 1.3))
-                report = slot_report(grant, latency_us=latency_us)
-                ended = (now_us + latency_us, next(numbers), report)
+                report = self._report(sent[grant.ask_id], grant, now_us, rng)
+                ended = (now_us + report.latency_us, next(numbers), report)
                 heapq.heappush(events, ended)
             for refusal in refusals(new_effects):
                 call = sent[refusal.ask_id]
@@ -221,6 +236,24 @@
             )
         return request
 
+    def _report(
+        self,
+        call: Call,
+        grant: messages.SlotGrant,
+        now_us: int,
+        rng: random.Random,
+    ) -> messages.SlotReport:
+        at_s = (now_us - START_US) / SECOND_US
+        is_failing = any(
+            start_s <= at_s < stop_s
+            for start_s, stop_s in self._failures[int(grant.target_id[1:])]
+        )
+        if is_failing and rng.random() < FAILING_SHARE:
+            return slot_report(grant, SendOutcome.FAILED, FAILURE_US)
+        mean_us = call.kind.work_ms * MILLISECOND_US
+        latency_us = int(mean_us * rng.uniform(0.7, 1.3))
+        return slot_report(grant, latency_us=latency_us)
+
     def _next_send_us(
         self, call: Call, refusal: messages.SlotRefused, now_us: int
     ) -> int:
@@ -238,12 +271,14 @@
         return at_us
 
 
-def describe(load: float, eager_share: float, seed: int = 1) -> str:
+def describe(overload: Overload, seed: int = 1) -> str:
     """Return a row of the table of who bears the cost."""
-    cells = [f'{load:g}', 'a third' if eager_share else 'none']
+    callers = 'a third' if overload.eager_share else 'none'
+    failing = '30%' if overload.has_failures else 'none'
+    cells = [f'{overload.load:g}', callers, failing]
     results = [
         OverloadReplay(
-            Overload(load, eager_share, is_first_come=is_first_come), seed
+            replace(overload, is_first_come=is_first_come), seed
         ).run()
         for is_first_come in (True, False)
     ]
@@ -270,9 +305,11 @@
 
 def print_table() -> None:
     """Print the table of docs/design/waiting.md."""
-    for eager_share in (0, 1 / 3):
-        for load in (0.8, 1.2, 2, 4):
-            print(describe(load, eager_share), flush=True)
+    loads = (0.8, 1.2, 2, 4)
+    for has_failures in (False, True):
+        for eager_share, load in itertools.product((0, 1 / 3), loads):
+            overload = Overload(load, eager_share, has_failures=has_failures)
+            print(describe(overload), flush=True)
 
 
 if __name__ == '__main__':
