Bound the weight of recent use after a long pause of the process

Cause: the weight grows by e in 2.5 s and is scaled back at a tick every 500 s. A process that is paused for half an hour and gets a message before its next tick overflowed a float, which ends the host.

Change: the exponent is bounded.

--- a/foxtailreach/core/dispatch/fair_shares.py
+++ b/foxtailreach/core/dispatch/fair_shares.py
@@ -29,6 +29,8 @@
 FORGET_AFTER_US = 10 * SECOND_US
 # The stored values are scaled back before the weight overflows a float.
 MAX_DECAY_TIMES = 200
+# Bounds the weight if a process was paused for long before it scales them back.
+MAX_EXPONENT = 400
 # Entries of a heap that may be outdated before it is rebuilt.
 SPARE_ENTRIES = 64
 # Requests that one call checks against their deadline and keeps, and those that
@@ -102,7 +104,8 @@
 
     def weight(self, now_us: int) -> float:
         """Return what one microsecond of use counts now."""
-        return math.exp((now_us - self._origin_us) / DECAY_US)
+        exponent = (now_us - self._origin_us) / DECAY_US
+        return math.exp(min(MAX_EXPONENT, exponent))
 
     def share(self, customer: str) -> float:
         """Return a customer's share of the recent use of all customers."""
--- a/foxtailreach/tests/dispatch/fair_shares_tests.py
+++ b/foxtailreach/tests/dispatch/fair_shares_tests.py
@@ -134,6 +134,19 @@
     assert queue.shares.weight(now_us + 1) == pytest.approx(1)
 
 
+def test_long_pause_of_the_process_is_survived() -> None:
+    """Guards against an overflow before the next tick, which ends a host."""
+    queue = WaitQueue(START_US)
+    enqueue(queue, 1, 'a', START_US)
+    queue.start(next(queue.ordered(START_US)), START_US)
+    now_us = START_US + 24 * 3600 * SECOND_US
+    enqueue(queue, 2, 'b', now_us)
+    assert serve_next(queue, now_us) == 'b'
+    queue.finish(('h1', 1), now_us)
+    queue.tick(now_us)
+    assert 0 <= queue.shares.share('a') <= 1
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_expected_work_ahead_is_that_which_is_served_first(seed: int) -> None:
     """Guards the estimate that refusals rest on."""
