--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -10,12 +10,8 @@
 from foxtailreach.core import effects
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.broker import Broker, Effects, Standing
+from foxtailreach.core.dispatch.broker_notes import BrokerNotes, broker_gauges
 from foxtailreach.core.dispatch.budgets import RetryPolicy
-from foxtailreach.core.dispatch.cover import (
-    CoverageDemand,
-    CoverageScope,
-    count_idle,
-)
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
 from foxtailreach.core.dispatch.mirror import NO_VERSION
 from foxtailreach.core.dispatch.pool_messages import (
@@ -33,8 +29,6 @@
 
 # Evidence becomes stale fast.
 DIGEST_INTERVAL_US = SECOND_US
-NOTE_INTERVAL_US = SECOND_US
-COST_NOTE_INTERVAL_US = 10 * SECOND_US
 BROKER_IDLE_US = 20 * SECOND_US
 # How often other pools learn of slots to spare.
 STATUS_INTERVAL_US = 500 * MILLISECOND_US
@@ -67,9 +61,6 @@
     last_status_us: int = 0
     last_request_us: int = 0
     last_digest_us: int = 0
-    last_note_us: int = 0
-    last_cost_note_us: int = 0
-    noted_scope: CoverageScope = CoverageScope.NONE
 
 
 class ServiceBrokers:
@@ -79,6 +70,7 @@
         '_deployment',
         '_entries',
         '_evacuated',
+        '_notes',
         '_policy',
         '_prefers_own_domain',
         '_rng',
@@ -102,6 +94,7 @@
         self._state_version = NO_VERSION
         self._evacuated: frozenset[str] = frozenset()
         self._entries: dict[str, BrokerEntry] = {}
+        self._notes = BrokerNotes()
 
     def update(
         self,
@@ -123,6 +116,7 @@
                 or entry.pool.service not in deployment.services
             ):
                 self._entries.pop(name)
+                self._notes.forget(name)
                 continue
             new_effects.extend(self._refresh(entry.pool, entry.broker, now_us))
         return new_effects
@@ -234,6 +228,7 @@
             new_effects.extend(entry.broker.tick(now_us))
             if now_us - entry.last_used_us > BROKER_IDLE_US:
                 self._entries.pop(name)
+                self._notes.forget(name)
                 continue
             if _is_digest_due(entry, now_us):
                 entry.last_digest_us = now_us
@@ -246,51 +241,16 @@
         return new_effects
 
     def notes(self, now_us: int) -> list[effects.Note]:
-        """Describe coverage and costs of the services for the log."""
-        return [*self._coverage_notes(now_us), *self._cost_notes(now_us)]
+        """Describe the brokers for the log."""
+        brokers = {name: entry.broker for name, entry in self._entries.items()}
+        return self._notes.collect(brokers, now_us)
 
     def gauges(self) -> dict[str, int]:
         """Return the metrics of all brokers by name."""
-        gauges = {}
-        for service, entry in self._entries.items():
-            broker = entry.broker
-            gauges[f'waiting_{service}'] = broker.queue_length
-            gauges[f'known_classes_{service}'] = broker.costs.known_classes
-            gauges[f'spared_targets_{service}'] = broker.tail_rule.spared
-            sample = broker.tail_rule.sample
-            gauges[f'sampled_service_us_{service}'] = sample.actual_us
-            gauges[f'estimated_service_us_{service}'] = sample.estimated_us
-        return gauges
-
-    def _cost_notes(self, now_us: int) -> list[effects.Note]:
-        """Describe costs where estimates of classes are used, every 10 s."""
-        notes = []
-        for service, entry in self._entries.items():
-            is_due = now_us - entry.last_cost_note_us > COST_NOTE_INTERVAL_US
-            if is_due and entry.broker.costs.is_active:
-                entry.last_cost_note_us = now_us
-                notes.append(
-                    effects.Note('costs', service, _describe_costs(entry)),
-                )
-        return notes
-
-    def _coverage_notes(self, now_us: int) -> list[effects.Note]:
-        """Describe changes of the coverage, at most one in a second."""
-        notes = []
+        gauges: dict[str, int] = {}
         for name, entry in self._entries.items():
-            demand = entry.broker.coverage(now_us)
-            is_due = now_us - entry.last_note_us > NOTE_INTERVAL_US
-            if is_due and demand.scope is not entry.noted_scope:
-                entry.last_note_us = now_us
-                entry.noted_scope = demand.scope
-                notes.append(
-                    effects.Note(
-                        'coverage',
-                        name,
-                        _describe_coverage(entry.broker, demand, now_us),
-                    ),
-                )
-        return notes
+            gauges.update(broker_gauges(name, entry.broker))
+        return gauges
 
     def _direct_elsewhere(
         self,
@@ -420,19 +380,6 @@
         )
 
 
-def _describe_coverage(
-    broker: Broker, demand: CoverageDemand, now_us: int
-) -> str:
-    idle = count_idle(broker.records.values(), now_us)
-    return (
-        f'kept for {demand.scope}: '
-        f'{demand.requests_per_target:.2f} requests a target, '
-        f'{demand.unserved_share:.3f} not served, '
-        f'recovery {demand.recovery_us} us, '
-        f'{idle} of {len(broker.records)} targets idle'
-    )
-
-
 def _has_untried_room(broker: Broker, now_us: int) -> bool:
     """Tell whether a pool has free slots, and evidence on no target."""
     service_us = broker.service_time_us
@@ -446,16 +393,6 @@
     )
 
 
-def _describe_costs(entry: BrokerEntry) -> str:
-    tail_rule = entry.broker.tail_rule
-    sample = tail_rule.sample
-    return (
-        f'{entry.broker.costs.known_classes} classes; a request of class '
-        f'{sample.request_class} took {sample.actual_us} us, estimated '
-        f'{sample.estimated_us} us; {tail_rule.spared} targets spared'
-    )
-
-
 def _is_digest_due(entry: BrokerEntry, now_us: int) -> bool:
     is_active = now_us - entry.last_request_us < DIGEST_INTERVAL_US
     return is_active and now_us - entry.last_digest_us > DIGEST_INTERVAL_US
