Remember what a restored store lacked, for the next restoration

Cause: a target that had left was used again: the first restored store lacked its entry, and the copy of the second one held it.

Change: each removal is remembered, also one by a restoration. Whole copies no longer have to name refused keys, as their receiver remembers what they lack. The comparison of versions moves into versions.py.

--- a/foxtailreach/core/dispatch/eras.py
+++ b/foxtailreach/core/dispatch/eras.py
@@ -65,13 +65,9 @@
 
 
 class FormerRecords:
-    """Removed records, which tell what is outdated in a restored store.
+    """Removed records, which tell what is outdated in a restored store."""
 
-    `refused` are the keys that the copy of the store holds although they were
-    removed before the restoration.
-    """
-
-    __slots__ = ('_end', '_era', '_records', '_rules', 'refused')
+    __slots__ = ('_end', '_era', '_records', '_rules')
 
     def __init__(self, rules: EraRules) -> None:
         """Remember nothing yet."""
@@ -79,13 +75,11 @@
         self._records: dict[str, KeyedRecord] = {}
         self._era = 0
         self._end = 0
-        self.refused: set[str] = set()
 
     def begin(self, era: int, end: int) -> None:
         """Begin an era in which the copy held offsets below `end` at most."""
         self._era = era
         self._end = end
-        self.refused.clear()
 
     def remember(self, record: KeyedRecord) -> None:
         """Remember a removed record."""
@@ -94,18 +88,9 @@
         if len(self._records) > MAX_FORMER_RECORDS:
             self.forget(next(iter(self._records)))
 
-    def remember_lost(self, record: KeyedRecord) -> None:
-        """Remember a record that the restored store lacks, if it is final.
-
-        Any other one may be written again.
-        """
-        if self._rules.is_final(record):
-            self.remember(record)
-
     def forget(self, key: str) -> None:
         """Forget the removed record of a key that was written again."""
         self._records.pop(key, None)
-        self.refused.discard(key)
 
     def substitute(self, record: KeyedRecord) -> KeyedRecord | None:
         """Return what a record means after a restoration; None if nothing.
@@ -122,7 +107,5 @@
         ):
             return replace(former, offset=record.offset)
         is_copied = record.offset < self._end
-        if is_copied and self._rules.is_same_start(former, record):
-            self.refused.add(record.key)
-            return None
-        return record
+        is_outdated = is_copied and self._rules.is_same_start(former, record)
+        return None if is_outdated else record
--- a/foxtailreach/core/dispatch/topic_mirror.py
+++ b/foxtailreach/core/dispatch/topic_mirror.py
@@ -24,7 +24,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from foxtailreach.core.dispatch import eras
+from foxtailreach.core.dispatch import eras, versions
 from foxtailreach.core.dispatch.changes import (
     Change,
     Classify,
@@ -124,16 +124,11 @@
 
     def is_behind(self, other: TopicVersion) -> bool:
         """Tell whether another replica holds a change that this one lacks."""
-        if other.era != self.era:
-            return other.era > self.era and other.changed_offset >= 0
-        return other.changed_offset > max(self.next_offset, self.changed_offset)
+        return versions.is_behind(self.version, other)
 
     def contradicts(self, other: TopicVersion) -> bool:
         """Tell whether another replica holds other content at an offset."""
-        first = max(self.changed_offset, other.changed_offset)
-        last = min(self.next_offset, other.next_offset)
-        is_comparable = other.era == self.era and 0 <= first <= last
-        return is_comparable and other.digest != self._digest.value
+        return versions.contradicts(self.version, other)
 
     def follow(self, other: TopicVersion) -> bool:
         """Advance to the offset of another replica with the same content.
@@ -195,7 +190,7 @@
         else:
             is_changed = self.fold(usable, next_offset)
         for key in missing_keys:
-            self._remove(key, next_offset - 1, is_lost=is_first)
+            self._remove(key, next_offset - 1)
         if is_current:
             # The list does not show when the content became what it is.
             ends = (record.offset + 1 for record in usable)
@@ -221,17 +216,14 @@
             for key, record in self.records.items()
             if not is_same and self._changed_offsets.get(key, base) >= base
         ]
-        # A whole copy names the keys that its receiver must refuse, too.
-        removed = self._former.refused
-        if base != NO_VERSION:
-            removed = set(() if is_same else self._removed.since(base))
+        is_partial = base != NO_VERSION and not is_same
         return TopicCopy(
             topic=self.name,
             base_offset=base,
             changed_offset=self.changed_offset,
             next_offset=self.next_offset,
             records=tuple(records),
-            removed=tuple(sorted(removed)),
+            removed=self._removed.since(base) if is_partial else (),
             digest=self._digest.value,
             era=self.era,
         )
@@ -289,8 +281,7 @@
         missing_keys = self._missing_keys(listed, copy.next_offset)
         is_changed = self._merge(copy.records, copy.changed_offset)
         for key in missing_keys:
-            is_lost = is_first and key not in copy.removed
-            self._remove(key, copy.next_offset - 1, is_lost=is_lost)
+            self._remove(key, copy.next_offset - 1)
         self._advance(copy)
         self.is_diverged = False
         if is_first:
@@ -384,19 +375,15 @@
             self._removed.discard(record.key)
             self._update_digest(record)
 
-    def _remove(self, key: str, offset: int, *, is_lost: bool = False) -> bool:
+    def _remove(self, key: str, offset: int) -> bool:
         """Remove a key, and keep a tombstone; false if it is unknown.
 
-        The key was removed at `offset` at the latest; `is_lost` if not by its
-        owner, but with a restoration of the store.
+        The key was removed at `offset` at the latest.
         """
         removed = self.records.pop(key, None)
         if removed is None:
             return False
-        if is_lost:
-            self._former.remember_lost(removed)
-        else:
-            self._former.remember(removed)
+        self._former.remember(removed)
         self._changed_offsets.pop(key, None)
         self._digest.remove(key)
         self._history_start = max(
--- a/foxtailreach/tests/dispatch/eras_tests.py
+++ b/foxtailreach/tests/dispatch/eras_tests.py
@@ -148,6 +148,27 @@
     assert replica.topics['t'].fold([record('config', 0, b'w')], 1)
 
 
+@pytest.mark.parametrize('is_written', [False, True])
+def test_record_that_was_lost_is_in_the_copy_of_the_next_restoration(
+    is_written: bool,
+) -> None:
+    """Found by the state machine: a target that had left was used again.
+
+    The first restored store lacked it, so that it counted as gone; if it lives
+    it writes again.
+    """
+    rules = EraRules(is_same_start=lambda left, other: True)
+    topic = TopicMirror('t', classify, rules=rules)
+    topic.replace([record('a', 0)], 1)
+    topic.replace([], 1, 1)
+    topic.replace([record('a', 0)], 1, 2)
+    assert not topic.records
+    if is_written:
+        topic.fold([record('a', 1)], 2)
+        topic.replace([record('a', 0)], 1, 3)
+    assert bool(topic.records) is is_written
+
+
 def test_memory_of_removed_records_grows() -> None:
     """Targets leave for as long as a host runs."""
     memory = FormerRecords(EraRules())
