--- a/foxtailreach/platform/retainer.py
+++ b/foxtailreach/platform/retainer.py
@@ -25,6 +25,7 @@
 # Targets that live renew their entries within 2 s of the store's return.
 RENEWAL_US = 2500 * MILLISECOND_US
 EXPIRY_MARGIN_US = 10 * MILLISECOND_US
+MAX_LOGGED_KEYS = 20
 
 # The records of topics as they were known in an older era, by topic and key.
 KnownRecords = dict[str, dict[str, KeyedRecord]]
@@ -130,7 +131,8 @@
                 logger.bind(
                     topic=name,
                     era=self._mirror.topics[name].era,
-                    keys=[record.key for record in missing],
+                    missing=len(missing),
+                    keys=[record.key for record in missing[:MAX_LOGGED_KEYS]],
                 ).info('the restored store lacks records')
             match name:
                 case records.TARGETS_TOPIC:
