Keep the draining targets apart in the digest

Cause: the first restoration decoded all known targets again, to leave the draining ones out of the digest.

Change: ContentDigest knows which keys are optional.

--- a/foxtailreach/core/dispatch/topic_mirror.py
+++ b/foxtailreach/core/dispatch/topic_mirror.py
@@ -272,8 +272,7 @@
         }
         self._changed_offsets = dict.fromkeys(self.records, NO_VERSION)
         self._removed.clear()
-        for record in self.records.values():
-            self._update_digest(record)
+        self._digest.leave_out()
 
     def _adopt_whole(self, copy: TopicCopy) -> bool:
         is_first = not self.is_read
@@ -373,7 +372,14 @@
         self._former.forget(record.key)
         if change is Change.MATERIAL:
             self._removed.discard(record.key)
-            self._update_digest(record)
+            # Hosts may differ in whether a target drains or has left, as they
+            # agree on what is in use.
+            is_final = self._rules.is_final(record)
+            is_optional = is_final and not self._rules.is_lasting(record)
+            fingerprint = self._fingerprint(record)
+            self._digest.update(
+                record.key, fingerprint, is_optional=is_optional
+            )
 
     def _remove(self, key: str, offset: int) -> bool:
         """Remove a key, and keep a tombstone; false if it is unknown.
@@ -390,15 +396,3 @@
             self._history_start, self._removed.add(key, offset)
         )
         return True
-
-    def _update_digest(self, record: KeyedRecord) -> None:
-        """Replace the part of a record in the digest.
-
-        Once the store was restored, hosts may differ in whether a target drains
-        or has left, as they agree on what is in use.
-        """
-        is_final = self._rules.is_final(record)
-        if self.era and is_final and not self._rules.is_lasting(record):
-            self._digest.remove(record.key)
-        else:
-            self._digest.update(record.key, self._fingerprint(record))
