Count answers with a status or version outside of HTTP/1 as lost

Cause: the parser accepts statuses up to 999 and any version, so that a caller got 600 and 999, and answers that name HTTP/0.9 or HTTP/2.0, as they were. A refusal with such a status said that the request had not run. Change: only HTTP/1.0 and 1.1 with a status of 100 to 599 is an answer, on new and kept connections and after interim answers; anything else ends the connection, counts as a failed target, and the caller gets 502, may have run.

--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -59,6 +59,8 @@
 # the right one the connection is closed.
 MAX_STALE_ANSWERS = 3
 _SUCCESS = range(200, 300)
+_STATUSES = range(100, 600)
+_HTTP_VERSIONS = frozenset((b'1.0', b'1.1'))
 _MISDIRECTED = 421
 _SERVER_ERROR = 500
 # More digits would be years.
@@ -205,9 +207,10 @@
             event = await self._read_event(parser)
             match event:
                 case h11.Response():
+                    _check_status_line(event)
                     return event
                 case h11.InformationalResponse():
-                    continue
+                    _check_status_line(event)
                 case _:
                     raise _ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
@@ -543,6 +546,20 @@
     return TargetConnection(stream)
 
 
+def _check_status_line(
+    response: h11.Response | h11.InformationalResponse,
+) -> None:
+    """Raise _ConnectionLostError on a status or version outside of HTTP/1.
+
+    The parser accepts any three digits from 100 on, and any version.
+    """
+    if response.status_code not in _STATUSES:
+        raise _ConnectionLostError(f'invalid status {response.status_code}')
+    if response.http_version not in _HTTP_VERSIONS:
+        version = response.http_version.decode('latin-1')
+        raise _ConnectionLostError(f'invalid protocol version {version}')
+
+
 def _may_lack_id(response: h11.Response, *, is_first: bool) -> bool:
     """Tell whether an answer without an id can be that of the request.
 
