Tell the next brokers which requests crash targets

Change: the digest of evidence carries the newest 16 fingerprints with their crashed targets, which the next broker counts with its own.

--- a/foxtailreach/core/crashes.py
+++ b/foxtailreach/core/crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from foxtailreach.core.messages import CrashRumor
 from foxtailreach.core.units import MINUTE_US
 
@@ -99,6 +101,14 @@
             for fingerprint, targets in self._crashed_targets.items()
         }
 
+    def merge(
+        self, fingerprint: int, targets: Iterable[str], now_us: int
+    ) -> None:
+        """Record crashes that an earlier tracker of the requests has seen."""
+        for target in targets:
+            report_id = f'{fingerprint}/{target}'
+            self.report_crash(fingerprint, target, report_id, now_us)
+
     def replace_elsewhere(
         self, source: str, crashed_targets: dict[int, frozenset[str]]
     ) -> None:
--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -29,6 +29,7 @@
     choose_target,
     has_target_by_evidence,
 )
+from foxtailreach.core.dispatch.pool_messages import newest_crashes
 from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.dispatch.refusals import (
     OverloadInputs,
@@ -391,6 +392,8 @@
                     entry.target_id, entry.slowness_permille
                 )
         self.costs.merge(digest.costs)
+        for crashed in digest.crashes:
+            self.crashes.merge(crashed.fingerprint, crashed.target_ids, now_us)
 
     def digest(self, now_us: int) -> messages.EvidenceDigest:
         """Return the evidence for hosts that may replace this broker."""
@@ -405,7 +408,10 @@
             if record.is_tried
         )
         return messages.EvidenceDigest(
-            self._pool.name, entries, self.costs.digest()
+            self._pool.name,
+            entries,
+            self.costs.digest(),
+            newest_crashes(self.crashes),
         )
 
     def tick(self, now_us: int) -> Effects:
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -14,6 +14,7 @@
 
 from foxtailreach.core.dispatch.deployment import RequestKind
 from foxtailreach.core.dispatch.pool_messages import (
+    CrashedTargets,
     PoolStatus,
     SlotReferral,
     SlotScope,
@@ -306,6 +307,7 @@
     service_name: str
     entries: tuple[TargetEvidence, ...]
     costs: tuple[ClassCost, ...] = ()
+    crashes: tuple[CrashedTargets, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/foxtailreach/core/dispatch/pool_messages.py
+++ b/foxtailreach/core/dispatch/pool_messages.py
@@ -5,6 +5,11 @@
 import enum
 from dataclasses import dataclass
 
+from foxtailreach.core.crashes import CrashTracker
+
+# Bounds the size of a message.
+MAX_REPORTED_CRASHES = 16
+
 
 class SlotScope(enum.StrEnum):
     """Which pools may serve a request for a slot.
@@ -49,3 +54,12 @@
     service_name: str
     spare_slots: int
     crashes: tuple[CrashedTargets, ...] = ()
+
+
+def newest_crashes(tracker: CrashTracker) -> tuple[CrashedTargets, ...]:
+    """Describe the newest crashes that a tracker knows of."""
+    crashed = list(tracker.crashed_targets().items())
+    return tuple(
+        CrashedTargets(fingerprint, tuple(sorted(target_ids)))
+        for fingerprint, target_ids in crashed[-MAX_REPORTED_CRASHES:]
+    )
--- a/foxtailreach/core/dispatch/pool_status.py
+++ b/foxtailreach/core/dispatch/pool_status.py
@@ -6,25 +6,19 @@
 
 from foxtailreach.core.dispatch.broker import Broker
 from foxtailreach.core.dispatch.pool_messages import (
-    CrashedTargets,
     PoolStatus,
+    newest_crashes,
 )
 from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.dispatch.target_record import TargetStatus
 
 # A pool keeps this share of its slots for the requests of its own domain.
 RESERVED_SHARE = 0.1
-# Bounds the size of a message.
-MAX_REPORTED_CRASHES = 16
 
 
 def create_status(pool: Pool, broker: Broker, now_us: int) -> PoolStatus:
     """Describe a pool for the brokers of the other ones."""
-    crashed = list(broker.crashes.crashed_targets().items())
-    crashes = tuple(
-        CrashedTargets(fingerprint, tuple(sorted(target_ids)))
-        for fingerprint, target_ids in crashed[-MAX_REPORTED_CRASHES:]
-    )
+    crashes = newest_crashes(broker.crashes)
     return PoolStatus(pool.name, _spare_slots(broker, now_us), crashes)
 
 
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -41,8 +41,6 @@
 
 struct SlotReferral { 1: i64 ask_id, 2: string domain, 3: bool is_final }
 
-struct CrashedTargets { 1: i64 fingerprint, 2: list<string> target_ids }
-
 struct PoolStatus {
   1: string service_name, 2: i64 spare_slots, 3: list<CrashedTargets> crashes
 }
@@ -79,6 +77,8 @@
 
 struct MeterRequest { 1: string customer }
 
+struct CrashedTargets { 1: i64 fingerprint, 2: list<string> target_ids }
+
 struct TargetEvidence {
   1: string target_id, 2: i64 served_age_us, 3: i64 failed_age_us,
   4: i64 slowness_permille
@@ -91,7 +91,7 @@
 
 struct EvidenceDigest {
   1: string service_name, 2: list<TargetEvidence> entries,
-  3: list<ClassCost> costs
+  3: list<ClassCost> costs, 4: list<CrashedTargets> crashes
 }
 
 struct HostAnnounced { 1: HostEntry entry, 2: i64 incarnation }
