Test contact between hosts of different eras of the store

Cause: no replay had a host that learns of a restoration from other hosts alone, after it was cut off from everything.

Change: a replay of it, for a coordinator and another host.

--- a/foxtailreach/tests/platform/restored_store_tests.py
+++ b/foxtailreach/tests/platform/restored_store_tests.py
@@ -158,6 +158,9 @@
 )
 
 
+CONTACTS = list(itertools.product([False, True], range(3)))
+
+
 def name_of(case: object) -> str:
     return getattr(case, '__name__', str(case))
 
@@ -213,3 +216,38 @@
         for version in host.feed.mirror.versions()
     }
     assert eras == {1}
+
+
+@pytest.mark.parametrize(('is_coordinator', 'seed'), CONTACTS)
+def test_host_of_an_older_era_and_the_others_differ_after_contact(
+    is_coordinator: bool, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was cut off from everything, and reaches the other hosts again."""
+    restoration = Restoration(nothing, 1, AWAY_S)
+    seen: list[Usage] = []
+    contact: list[tuple[str, float]] = []
+
+    async def script(replay: StateReplay) -> set[str]:
+        cut_off = next(
+            host_id
+            for host_id, host in replay.hosts.items()
+            if host.node.is_coordinator == is_coordinator
+        )
+        replay.cut_from_all(cut_off)
+        await restoration.run(replay)
+        replay.isolated.discard(cut_off)
+        contact.append((cut_off, replay.loop.time()))
+        watching = asyncio.ensure_future(watch(replay, seen))
+        await asyncio.sleep(2 * AGREE_BOUND_S)
+        watching.cancel()
+        return {cut_off}
+
+    replay_state(script, seed, monkeypatch)
+    ((cut_off, contact_s),) = contact
+    assert seen[0].versions[cut_off] < restoration.in_force
+    agreed = [one for one in seen if one.at_s > contact_s + AGREE_BOUND_S]
+    assert agreed
+    for usage in agreed:
+        assert set(usage.versions.values()) == {restoration.newest}
+        # `i-2`, which the restored store lacked, has written again.
+        assert set(usage.ready.values()) == {frozenset({'i-1', 'i-2'})}
