Test that hosts agree on a target that drains or has left

Cause: no test failed without leaving draining targets out of the digest; hosts would copy the whole topic with each notice.

Change: two tests of hosts that saw a drain and hosts that did not.

--- a/foxtailreach/tests/platform/restored_entries_tests.py
+++ b/foxtailreach/tests/platform/restored_entries_tests.py
@@ -118,3 +118,40 @@
         assert (listed, written) == (None, None)
     else:
         assert deployment.version == in_force
+
+
+def test_hosts_that_saw_a_drain_contradict_those_that_did_not() -> None:
+    """They use the same targets, but would copy all with each notice."""
+    ready = KeyedRecord('i-1', json.dumps(HEARTBEAT).encode(), 0)
+    draining = KeyedRecord('i-1', json.dumps(DRAINING).encode(), 1)
+    removal = KeyedRecord('i-1', b'', 2)
+    mirrors = []
+    for written in ([ready, draining, removal], [ready, removal]):
+        mirror = records.create_mirror()
+        topic = mirror.topics[records.TARGETS_TOPIC]
+        topic.replace([], 0)
+        topic.fold(written, 3)
+        topic.replace([ready], 1, 1)
+        mirrors.append(mirror)
+    first, second = mirrors
+    drained = [one.is_draining for one in records.decode_targets(first)]
+    assert drained == [True]
+    assert not records.decode_targets(second)
+    assert not first.contradicted(second.versions())
+    # Nor does a host that is in the newer era with a target that drains.
+    topic = second.topics[records.TARGETS_TOPIC]
+    topic.replace([ready, KeyedRecord('i-2', draining.payload, 0)], 1, 2)
+    first.topics[records.TARGETS_TOPIC].replace([ready], 1, 2)
+    assert not first.contradicted(second.versions())
+
+
+def test_drain_that_was_known_before_counts_in_the_digest() -> None:
+    """One host was in the older era with a target that drains."""
+    draining = KeyedRecord('i-1', json.dumps(DRAINING).encode(), 3)
+    known, started = records.create_mirror(), records.create_mirror()
+    for mirror, listed in ((known, [draining]), (started, [])):
+        topic = mirror.topics[records.TARGETS_TOPIC]
+        topic.replace(listed, 4)
+        ready = KeyedRecord('i-1', json.dumps(HEARTBEAT).encode(), 0)
+        topic.replace([ready] if listed else [], 1, 1)
+    assert not known.contradicted(started.versions())
