Break the reference cycles of a closed stream

Cause: the error of a read refers by its traceback to the frames of the reader, and these referred to the task and the future that hold the error. All frames up to the handler stayed until the next garbage collection, with the bodies and answers that they held. Change: the two frames give up their references.

--- a/foxtailreach/gateway/chunk_reader.py
+++ b/foxtailreach/gateway/chunk_reader.py
@@ -51,7 +51,14 @@
         reading = self.start()
         await asyncio.wait((reading,))
         self._reading = None
-        return reading.result()
+        try:
+            return reading.result()
+        finally:
+            # The traceback of an error refers to this frame. If the frame
+            # referred to the task, and thereby to the error, all frames up to
+            # the handler would stay until the next garbage collection, with
+            # the bodies and answers that they hold.
+            del reading
 
     def cancel(self) -> None:
         """Stop the pending read of a closed stream."""
@@ -60,7 +67,11 @@
 
 
 async def _as_coroutine(awaitable: Awaitable[bytes]) -> bytes:
-    return await awaitable
+    try:
+        return await awaitable
+    finally:
+        # See `ChunkReader.read`.
+        del awaitable
 
 
 def _ignore_result(task: asyncio.Task[bytes]) -> None:
