Free answers and bodies when they are sent, and bound bodies by their head

Cause: (1) The frames of a connection kept its last answer and request until the next one, and the error of a broken stream kept the frames that wrote to it until a garbage collection; neither was counted. (2) A body kept its reserved memory if its task was cancelled before its first step, as when the caller closes right after the last byte. (3) A body reserved its announced size at once, also that of a caller without a valid key. (4) A reader of requests could wait for ever for a place behind a writer that had ended. Change: no frame keeps a sent answer; closed streams drop the frames of their error; answers are relayed and bodies forwarded without a copy; an evicted answer is freed at once. Memory for a body grows with the bytes that arrive, within the idle timeout for each 64 kB, and is released by the end of the task. Route and key are checked when the head was read; the body of a rejected request is read, but not kept. The writer closes its connection when it ends.

--- a/foxtailreach/gateway/chunk_reader.py
+++ b/foxtailreach/gateway/chunk_reader.py
@@ -66,6 +66,18 @@
             self._reading.cancel()
 
 
+def close_stream(stream: IOStream) -> None:
+    """Close a stream so that it is freed at once.
+
+    A stream keeps the error that closed it, whose traceback refers to the
+    frames that read or wrote at that time, with what they held. As these refer
+    to the stream, they would stay until the next garbage collection.
+    """
+    stream.close()
+    if stream.error is not None:
+        stream.error.__traceback__ = None
+
+
 async def _as_coroutine(awaitable: Awaitable[bytes]) -> bytes:
     try:
         return await awaitable
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -24,7 +24,7 @@
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.daemon.clock import boot_time_us, wall_ms
-from foxtailreach.gateway import answer_memory, logs
+from foxtailreach.gateway import answer_memory, body_memory, logs
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -34,7 +34,7 @@
 from foxtailreach.gateway.metrics import GatewayMetrics
 from foxtailreach.gateway.peers import PeerEndpoint, StateServer
 from foxtailreach.gateway.proxy import GetPriority, Proxy
-from foxtailreach.gateway.request_reader import BodyBudget, ReaderOptions
+from foxtailreach.gateway.request_reader import ReaderOptions
 from foxtailreach.gateway.router import MessageRouter
 from foxtailreach.gateway.settings import Address, GatewaySettings
 from foxtailreach.gateway.state_feed import FeedDependencies, StateFeed
@@ -105,13 +105,17 @@
             self._record,
             rng,
         )
-        self._bodies = BodyBudget(settings.max_body_memory_bytes)
+        self._bodies = body_memory.BodyBudget(settings.max_body_memory_bytes)
         self._answers = answer_memory.AnswerMemory(
             settings.max_answer_memory_bytes
         )
         self._frontend = Frontend(
             ReaderOptions(
-                options.header_names, self._limits, self._bodies, self._answers
+                options.header_names,
+                self._limits,
+                self._bodies,
+                self._answers,
+                self._proxy.check_head,
             ),
             self._proxy.handle,
         )
--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -14,6 +14,7 @@
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.answer_memory import HeldAnswer
+from foxtailreach.gateway.chunk_reader import close_stream
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
@@ -141,7 +142,7 @@
             task.cancel()
         for held_answer in self._held_answers:
             held_answer.close()
-        self._stream.close()
+        close_stream(self._stream)
 
     async def _read_requests(
         self,
@@ -165,16 +166,29 @@
                 return
             if request is None:
                 return
-            self.unanswered += 1
-            self._held_answers.add(request.held_answer)
-            task = asyncio.ensure_future(self._run(request))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
-            await answers.put((parser, _PendingAnswer(request, task)))
-            if _wants_close(request):
+            # No variable here may keep the request or its answer, as they
+            # would stay in memory until the next request arrives.
+            wants_close = _wants_close(request)
+            pending = self._start(request)
+            del request
+            await answers.put((parser, pending))
+            del parser, pending
+            if wants_close:
                 # Discard later bytes; reading still detects a disconnect.
                 await self._watch_until_answered()
 
+    def _start(self, request: CallerRequest) -> _PendingAnswer:
+        """Serve a request in a task of its own."""
+        self.unanswered += 1
+        self._held_answers.add(request.held_answer)
+        task = asyncio.ensure_future(self._run(request))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        # Also if the task was cancelled before its first step, which happens
+        # if the caller closed right after the last byte.
+        task.add_done_callback(lambda _: request.release_body())
+        return _PendingAnswer(request, task)
+
     async def _wait_for_request(self) -> bool:
         """Wait until a request begins; False if none is to be read."""
         wait_us = self._idle_left_us()
@@ -225,10 +239,7 @@
             await asyncio.sleep(MILLISECOND_US / SECOND_US)
 
     async def _run(self, request: CallerRequest) -> CallerAnswer:
-        try:
-            answer = await self._handle(request)
-        finally:
-            self._reader.release(request)
+        answer = await self._handle(request)
         # From here on it waits for its caller.
         request.held_answer.assign(id(self), self._stream.close)
         return answer
@@ -237,32 +248,54 @@
         self,
         answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
     ) -> None:
-        while True:
-            entry = await answers.get()
-            if entry is None:
-                return
-            parser, pending = entry
-            answer = await pending.answer()
-            is_last = self._frontend.is_stopping and self.unanswered == 1
-            must_close = answer.must_close or is_last
-            if must_close:
-                self._is_closing = True
-            try:
-                parts = self._encode(parser, pending, answer, must_close)
-            except h11.LocalProtocolError as error:
-                logger.error('answer cannot be sent: {}', error)
-                self._stream.close()
-                return
-            with suppress(StreamClosedError):
-                await self._write_parts(parts)
-            self._release_answer(pending)
-            self.unanswered -= 1
-            self._idle_since_us = boot_time_us()
-            if must_close or parser.our_state is h11.MUST_CLOSE:
-                self._stream.close()
-                return
+        try:
+            # No variable here may keep an answer that was sent, as it would
+            # stay in memory until the next one.
+            is_open = True
+            while is_open:
+                is_open = await self._write_next(await answers.get())
+        finally:
+            self._end_answers(answers)
 
-    async def _write_parts(self, parts: list[bytes]) -> None:
+    def _end_answers(
+        self,
+        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
+    ) -> None:
+        """Stop reading requests; one may wait for a place in the queue."""
+        self._is_closing = True
+        self._stream.close()
+        while not answers.empty():
+            answers.get_nowait()
+
+    async def _write_next(
+        self, entry: tuple[h11.Connection, _PendingAnswer] | None
+    ) -> bool:
+        """Write an answer; False if it was the last one."""
+        if entry is None:
+            return False
+        parser, pending = entry
+        answer = await pending.answer()
+        is_last = self._frontend.is_stopping and self.unanswered == 1
+        must_close = answer.must_close or is_last
+        if must_close:
+            self._is_closing = True
+        try:
+            parts = self._encode(parser, pending, answer, must_close)
+        except h11.LocalProtocolError as error:
+            logger.error('answer cannot be sent: {}', error)
+            self._stream.close()
+            return False
+        with suppress(StreamClosedError):
+            await self._write_parts(parts)
+        self._release_answer(pending)
+        self.unanswered -= 1
+        self._idle_since_us = boot_time_us()
+        if must_close or parser.our_state is h11.MUST_CLOSE:
+            self._stream.close()
+            return False
+        return True
+
+    async def _write_parts(self, parts: list[bytes | bytearray]) -> None:
         """Write an answer; a large body is not copied.
 
         Close the connection if the caller reads nothing for its idle time.
@@ -277,7 +310,9 @@
             logger.info('a caller does not read its answer')
             self._stream.close()
 
-    async def _write_in_time(self, part: bytes, idle_s: float) -> None:
+    async def _write_in_time(
+        self, part: bytes | bytearray, idle_s: float
+    ) -> None:
         """Write a part; raise TimeoutError if a piece is not taken in time."""
         view = memoryview(part)
         for start in range(0, len(part), WRITE_BYTES):
@@ -296,7 +331,7 @@
         pending: _PendingAnswer,
         answer: CallerAnswer,
         must_close: bool,
-    ) -> list[bytes]:
+    ) -> list[bytes | bytearray]:
         """Return the head, and the body if there is one."""
         headers = forwarded_headers(answer.headers, frozenset())
         if pending.request is not None and pending.request.request_id:
@@ -313,9 +348,11 @@
             headers=headers,
             reason=answer.phrase,
         )
-        parts = [parser.send(response) or b'']
+        parts: list[bytes | bytearray] = [parser.send(response) or b'']
         if answer.body and not pending.is_head:
-            parts.append(parser.send(h11.Data(data=answer.body)) or b'')
+            body = h11.Data(data=answer.body)  # type: ignore[arg-type]
+            # `send` would copy the body.
+            parts.extend(parser.send_with_data_passthrough(body) or ())
         parts.append(parser.send(h11.EndOfMessage()) or b'')
         return [part for part in parts if part]
 
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -11,6 +11,7 @@
 from foxtailreach.core.dispatch.target_notices import NO_NOTICE, TargetNotice
 from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.gateway.answer_memory import HeldAnswer, unlimited_answer
+from foxtailreach.gateway.body_memory import HeldBody, unlimited_body
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -56,6 +57,8 @@
     """A complete request from a caller.
 
     `time_left_us` counts from `received_us`; `key` is the API key, or ''.
+    With a `rejection`, it is to be answered with this, and its body was not
+    kept.
     """
 
     method: bytes
@@ -67,6 +70,13 @@
     time_left_us: int
     key: str
     held_answer: HeldAnswer = field(default_factory=unlimited_answer)
+    held_body: HeldBody = field(default_factory=unlimited_body)
+    rejection: Rejection | None = None
+
+    def release_body(self) -> None:
+        """Give up the body and its memory."""
+        self.body = b''
+        self.held_body.release()
 
     @property
     def host(self) -> str:
@@ -82,12 +92,20 @@
     status: int
     phrase: bytes
     headers: RawHeaders
-    body: bytes
+    body: bytes | bytearray
     verdict: Verdict
     reason: Reason | None = None
     must_close: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Rejection:
+    """The answer to a request that is rejected by its head, and its trace."""
+
+    answer: CallerAnswer
+    trace: RequestTrace
+
+
 @dataclass(slots=True)
 class RequestTrace:
     """History of one request, for its log line and the metrics.
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -33,6 +33,7 @@
     AttemptTrace,
     CallerAnswer,
     CallerRequest,
+    Rejection,
     RequestTrace,
     refusal,
 )
@@ -163,16 +164,30 @@
         for task in self._waiting:
             task.cancel()
 
+    async def check_head(self, request: CallerRequest) -> Rejection | None:
+        """Return why a request is rejected whatever its body is, if it is."""
+        trace = RequestTrace(request.request_id)
+        found = await self._find_route(request, trace)
+        if isinstance(found, CallerAnswer):
+            return Rejection(found, trace)
+        return None
+
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer one request and record what happened to it."""
+        rejection = request.rejection
         trace = RequestTrace(request.request_id)
+        if rejection is not None:
+            trace = rejection.trace
         answer = refusal(
             HTTPStatus.BAD_GATEWAY,
             Verdict.MAY_HAVE_RUN,
             Reason.CANCELLED,
         )
         try:
-            answer = await self._serve(request, trace)
+            if rejection is None:
+                answer = await self._serve(request, trace)
+            else:
+                answer = rejection.answer
         except Exception:
             # On a bug in this program, the caller still gets an answer.
             logger.bind(request_id=request.request_id).exception(
@@ -188,6 +203,18 @@
         request: CallerRequest,
         trace: RequestTrace,
     ) -> CallerAnswer:
+        found = await self._find_route(request, trace)
+        if isinstance(found, CallerAnswer):
+            return found
+        route, customer = found
+        return await self._serve_route(request, route, customer, trace)
+
+    async def _find_route(
+        self,
+        request: CallerRequest,
+        trace: RequestTrace,
+    ) -> CallerAnswer | tuple[RouteSpec, CustomerSpec | None]:
+        """Return the route and customer of a request, or its refusal."""
         if self._is_refusing_new:
             return _unavailable_answer(Reason.STOPPING, STOPPING_RETRY_US)
         deployment = await self._wait_for_deployment()
@@ -213,7 +240,7 @@
             return _unavailable_answer(
                 Reason.LIMIT_UNAVAILABLE, NOT_READY_RETRY_US
             )
-        return await self._serve_route(request, route, customer, trace)
+        return route, customer
 
     async def _wait_for_deployment(self) -> Deployment | None:
         """Return the configuration; wait briefly until it and targets exist."""
--- a/foxtailreach/gateway/request_reader.py
+++ b/foxtailreach/gateway/request_reader.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -20,12 +20,14 @@
 from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.answer_memory import AnswerMemory
+from foxtailreach.gateway.body_memory import BodyBudget, HeldBody
 from foxtailreach.gateway.chunk_reader import ChunkReader
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
     HeaderNames,
     RawHeaders,
+    Rejection,
     bounded_number,
     find_header,
     refusal,
@@ -34,12 +36,19 @@
 # Time limit for requests without a deadline header.
 DEFAULT_TIME_LEFT_US = 30 * SECOND_US
 MAX_TIME_LEFT_MS = 24 * 3600 * 1000
-# A body is held twice for a moment, when its parts are joined.
-BODY_COPIES = 2
 BODY_RETRY_AFTER_US = SECOND_US
+# A caller must send so many bytes of a body within the idle timeout.
+BODY_PIECE_BYTES = 65_536
 DOT_SEGMENTS = frozenset((b'.', b'..'))
 
 GetLimits = Callable[[], CallerLimits]
+# Checks a request by its head, before its body is read.
+CheckHead = Callable[[CallerRequest], Awaitable[Rejection | None]]
+
+
+async def accept_every_head(request: CallerRequest) -> Rejection | None:
+    """Reject no request by its head."""
+    return request.rejection
 
 
 class RequestError(Exception):
@@ -51,29 +60,6 @@
         self.answer = answer
 
 
-class BodyBudget:
-    """Bounds the memory for request bodies over all connections of a host."""
-
-    __slots__ = ('_limit_bytes', 'held_bytes')
-
-    def __init__(self, limit_bytes: int) -> None:
-        """Start without bodies."""
-        self._limit_bytes = limit_bytes
-        self.held_bytes = 0
-
-    def reserve(self, size_bytes: int) -> bool:
-        """Reserve memory for a body; return False if there is not enough."""
-        held_bytes = self.held_bytes + size_bytes * BODY_COPIES
-        if held_bytes > self._limit_bytes:
-            return False
-        self.held_bytes = held_bytes
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """Release the memory for a body."""
-        self.held_bytes -= size_bytes * BODY_COPIES
-
-
 @dataclass(slots=True, frozen=True)
 class ReaderOptions:
     """What all connections of a host share."""
@@ -82,6 +68,7 @@
     limits: GetLimits
     bodies: BodyBudget
     answers: AnswerMemory
+    check_head: CheckHead = accept_every_head
 
 
 class RequestReader:
@@ -123,7 +110,8 @@
     async def read(self, parser: h11.Connection) -> CallerRequest | None:
         """Return the request that has begun; None if the caller closed.
 
-        The memory for its body is reserved until `release` is called. Raises
+        The memory for its body is held until `request.release_body` is called.
+        The body of a rejected request is read, but not kept. Raises
         RequestError on a malformed or oversized request, or one that does not
         arrive in time.
         """
@@ -141,15 +129,11 @@
         if head is None:
             return None
         request = self._request(head, received_us)
-        request.body = await self._read_whole_body(parser, head, request)
+        await self._read_whole_body(parser, head, request)
         trailing, _ = parser.trailing_data
         self._buffer = bytes(trailing)
         return request
 
-    def release(self, request: CallerRequest) -> None:
-        """Release the memory for the body of an answered request."""
-        self._options.bodies.release(len(request.body))
-
     @property
     def _limits(self) -> CallerLimits:
         return self._options.limits()
@@ -171,26 +155,39 @@
         parser: h11.Connection,
         head: h11.Request,
         request: CallerRequest,
-    ) -> bytes:
-        """Read a body before the request's deadline, within the memory."""
-        body = _PartialBody(self._options.bodies, self._limits.max_body_bytes)
-        length = find_header(list(head.headers), b'content-length')
+    ) -> None:
+        """Read a body before the request's deadline, within the memory.
+
+        Also within the idle timeout for each piece of it.
+        """
+        headers = list(head.headers)
+        length = int(find_header(headers, b'content-length') or 0)
+        if length or find_header(headers, b'transfer-encoding'):
+            request.rejection = await self._options.check_head(request)
+        limit_bytes = self._limits.max_body_bytes
+        body = _PartialBody(request, limit_bytes, length)
         is_complete = False
         try:
-            body.reserve(int(length or 0))
-            async with asyncio.timeout(request.time_left_us / SECOND_US):
-                await self._read_body(parser, body)
+            body.check_memory()
+            async with asyncio.timeout(
+                request.time_left_us / SECOND_US
+            ) as timeout:
+                await self._read_body(parser, body, timeout)
             is_complete = True
         except TimeoutError as error:
             raise _timed_out() from error
         finally:
             if not is_complete:
-                body.release()
-        return bytes(body.received)
+                request.held_body.release()
+        body.complete()
 
     async def _read_body(
-        self, parser: h11.Connection, body: _PartialBody
+        self,
+        parser: h11.Connection,
+        body: _PartialBody,
+        timeout: asyncio.Timeout,
     ) -> None:
+        pace = _BodyPace(timeout, self._limits.idle_timeout_us)
         while True:
             event = _next_event(parser)
             match event:
@@ -199,6 +196,7 @@
                 case h11.EndOfMessage():
                     return
                 case h11.NEED_DATA:
+                    pace.expect_piece(body.size_bytes)
                     await self._send_continue(parser)
                     parser.receive_data(await self._chunks.read())
                 case _:
@@ -234,44 +232,89 @@
                 find_header(headers, b'authorization'), header_names.key_scheme
             ),
             held_answer=self._options.answers.open(),
+            held_body=HeldBody(self._options.bodies),
         )
 
 
+class _BodyPace:
+    """Time for each piece of a body, within the time for all of it."""
+
+    __slots__ = ('_idle_s', '_latest_s', '_piece_end_bytes', '_timeout')
+
+    def __init__(self, timeout: asyncio.Timeout, idle_timeout_us: int) -> None:
+        self._timeout = timeout
+        self._latest_s = timeout.when() or 0
+        self._idle_s = idle_timeout_us / SECOND_US
+        self._piece_end_bytes = 0
+
+    def expect_piece(self, size_bytes: int) -> None:
+        """Set the time for the next piece, if the last one is complete."""
+        if size_bytes < self._piece_end_bytes:
+            return
+        self._piece_end_bytes = size_bytes + BODY_PIECE_BYTES
+        end_s = asyncio.get_running_loop().time() + self._idle_s
+        self._timeout.reschedule(min(self._latest_s, end_s))
+
+
 class _PartialBody:
-    """A body that is being read, and the memory reserved for it."""
+    """A body that is being read, and the memory held for it.
 
-    __slots__ = ('_budget', '_limit_bytes', '_reserved_bytes', 'received')
+    That of a rejected request is counted, but not kept.
+    """
 
-    def __init__(self, budget: BodyBudget, limit_bytes: int) -> None:
-        self.received = bytearray()
-        self._budget = budget
+    __slots__ = (
+        '_announced_bytes',
+        '_limit_bytes',
+        '_received',
+        '_request',
+        'size_bytes',
+    )
+
+    def __init__(
+        self, request: CallerRequest, limit_bytes: int, announced_bytes: int
+    ) -> None:
+        self._received = bytearray()
+        self._request = request
         self._limit_bytes = limit_bytes
-        self._reserved_bytes = 0
+        self._announced_bytes = announced_bytes
+        self.size_bytes = 0
+
+    def check_memory(self) -> None:
+        """Raise RequestError if there is not enough memory now."""
+        if not self._is_kept:
+            return
+        if not self._request.held_body.fits(self._announced_bytes):
+            raise RequestError(_out_of_memory_answer())
 
     def add(self, chunk: bytes | bytearray) -> None:
-        """Append a chunk; bodies of unknown length reserve as they grow."""
-        _check_size(len(self.received) + len(chunk), self._limit_bytes)
-        missing = len(self.received) + len(chunk) - self._reserved_bytes
-        self.reserve(max(0, missing))
-        self.received += chunk
-
-    def reserve(self, size_bytes: int) -> None:
-        """Reserve more memory; raise RequestError if there is not enough."""
-        if not self._budget.reserve(size_bytes):
-            raise RequestError(
-                refusal(
-                    HTTPStatus.SERVICE_UNAVAILABLE,
-                    Verdict.NOT_RUN,
-                    Reason.OVERLOAD,
-                    BODY_RETRY_AFTER_US,
-                    must_close=True,
-                ),
-            )
-        self._reserved_bytes += size_bytes
+        """Append a chunk, within the memory."""
+        self.size_bytes += len(chunk)
+        _check_size(self.size_bytes, self._limit_bytes)
+        if not self._is_kept:
+            return
+        held_body = self._request.held_body
+        if not held_body.grow(self.size_bytes, self._announced_bytes):
+            raise RequestError(_out_of_memory_answer())
+        self._received += chunk
+
+    def complete(self) -> None:
+        """Hand the body over to its request."""
+        self._request.body = bytes(self._received)
+        self._request.held_body.shrink(len(self._received))
+
+    @property
+    def _is_kept(self) -> bool:
+        return self._request.rejection is None
+
 
-    def release(self) -> None:
-        """Release the memory of a body that was not read to its end."""
-        self._budget.release(self._reserved_bytes)
+def _out_of_memory_answer() -> CallerAnswer:
+    return refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        Verdict.NOT_RUN,
+        Reason.OVERLOAD,
+        BODY_RETRY_AFTER_US,
+        must_close=True,
+    )
 
 
 def malformed_answer(status: HTTPStatus) -> CallerAnswer:
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -25,7 +25,7 @@
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.answer_memory import HeldAnswer
-from foxtailreach.gateway.chunk_reader import ChunkReader
+from foxtailreach.gateway.chunk_reader import ChunkReader, close_stream
 from foxtailreach.gateway.http_types import (
     CallerRequest,
     HeaderNames,
@@ -55,6 +55,8 @@
 # Other tasks run after so many parts, which takes less than 1 ms.
 PARTS_PER_TURN = 8
 MAX_INTERIM_ANSWERS = 16
+# Smaller bodies are sent together with their head, in one packet if they fit.
+MAX_JOINED_BYTES = 16_384
 # Answers to earlier requests are skipped; after this many answers without
 # the right one the connection is closed.
 MAX_STALE_ANSWERS = 3
@@ -77,7 +79,7 @@
     status: int = 0
     phrase: bytes = b''
     headers: RawHeaders = ()  # type: ignore[assignment]
-    body: bytes = b''
+    body: bytes | bytearray = b''
     is_reused: bool = False
     cause: str = ''
     notice: TargetNotice = NO_NOTICE
@@ -91,6 +93,7 @@
     """A connection to a target, used by one request at a time."""
 
     __slots__ = (
+        '_body',
         '_chunks',
         '_exchanges',
         '_held_answer',
@@ -115,6 +118,8 @@
         self._parts = 0
         self._reads = 0
         self._held_answer: HeldAnswer | None = None
+        # Of the answer that is being received.
+        self._body = bytearray()
 
     @property
     def is_usable(self) -> bool:
@@ -138,9 +143,17 @@
     def close(self) -> None:
         """Close the connection, which cancels the request at the target."""
         self.must_close = True
-        self.stream.close()
+        close_stream(self.stream)
         self._chunks.cancel()
 
+    def evict(self) -> None:
+        """Give up the answer that is received, and free its memory at once.
+
+        The tasks that wait for it notice only after others have received more.
+        """
+        self._body.clear()
+        self.stream.close()
+
     async def exchange(
         self,
         request: h11.Request,
@@ -148,7 +161,7 @@
         id_header: bytes,
         request_id: bytes,
         held_answer: HeldAnswer,
-    ) -> tuple[h11.Response, bytes]:
+    ) -> tuple[h11.Response, bytearray]:
         """Send one request and read its answer, within `held_answer`.
 
         Answers that echo the id of another request are skipped, and so are
@@ -162,9 +175,7 @@
         self._held_answer = held_answer
         is_first = not self._exchanges
         self._exchanges += 1
-        parser, payload = _serialize(request, body)
-        written = self.stream.write(payload)
-        written.add_done_callback(_ignore_result)
+        parser = self._send(request, body)
         for _ in range(MAX_STALE_ANSWERS):
             response, answer_body = await self._read_answer(parser)
             echoed = find_header(list(response.headers), id_header)
@@ -182,19 +193,29 @@
                 parser.receive_data(trailing)
         raise _ConnectionLostError('received only answers to other requests')
 
+    def _send(self, request: h11.Request, body: bytes) -> h11.Connection:
+        """Send a request; return the parser of its answer."""
+        parser, parts = _serialize(request, body)
+        for part in parts:
+            written = self.stream.write(part)
+            written.add_done_callback(_ignore_result)
+        return parser
+
     async def _read_answer(
         self,
         parser: h11.Connection,
-    ) -> tuple[h11.Response, bytes]:
+    ) -> tuple[h11.Response, bytearray]:
         response = await self._read_head(parser)
         body = bytearray()
+        self._body = body
         while True:
             event = await self._read_event(parser)
             match event:
                 case h11.Data(data=chunk):
                     body += chunk
                 case h11.EndOfMessage():
-                    return response, bytes(body)
+                    self._body = bytearray()
+                    return response, body
                 case _:
                     raise _ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
@@ -378,7 +399,7 @@
         before_bytes = held_answer.size_bytes
         kept_bytes = 0
         owner = (grant.target_id, grant.started_ms)
-        held_answer.assign(owner, connection.stream.close)
+        held_answer.assign(owner, connection.evict)
         try:
             async with asyncio.timeout(left_us / SECOND_US):
                 response, body = await connection.exchange(
@@ -405,7 +426,9 @@
                 connection.close()
         return self._to_answer(response, body)
 
-    def _to_answer(self, response: h11.Response, body: bytes) -> TargetAnswer:
+    def _to_answer(
+        self, response: h11.Response, body: bytearray
+    ) -> TargetAnswer:
         answer = TargetAnswer(
             outcome=SendOutcome.SERVED,
             status=response.status_code,
@@ -555,13 +578,16 @@
 def _serialize(
     request: h11.Request,
     body: bytes,
-) -> tuple[h11.Connection, bytes]:
+) -> tuple[h11.Connection, list[bytes]]:
+    """Return the parser and what is to be sent; a large body is not copied."""
     parser = h11.Connection(h11.CLIENT)
-    payload = parser.send(request) or b''
+    parts = [parser.send(request) or b'']
     if body:
-        payload += parser.send(h11.Data(data=body)) or b''
-    payload += parser.send(h11.EndOfMessage()) or b''
-    return parser, payload
+        parts.append(parser.send(h11.Data(data=body)) or b'')
+    parts.append(parser.send(h11.EndOfMessage()) or b'')
+    if len(body) <= MAX_JOINED_BYTES:
+        return parser, [b''.join(parts)]
+    return parser, [part for part in parts if part]
 
 
 def _ignore_result(future: asyncio.Future[Any]) -> None:
--- a/foxtailreach/tests/gateway/frontend_tests.py
+++ b/foxtailreach/tests/gateway/frontend_tests.py
@@ -12,13 +12,14 @@
 from foxtailreach.core.dispatch.deployment import CallerLimits
 from foxtailreach.core.verdict import Reason, Verdict
 from foxtailreach.gateway.answer_memory import AnswerMemory
+from foxtailreach.gateway.body_memory import BodyBudget
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
     refusal,
 )
-from foxtailreach.gateway.request_reader import BodyBudget, ReaderOptions
+from foxtailreach.gateway.request_reader import ReaderOptions
 from foxtailreach.tests.gateway.upstream_tests import HEADER_NAMES
 
 LIMITS = CallerLimits(
