Bound the connections of callers below the descriptors of a host

Cause: nothing bounded open connections, so idle callers and heads that never end used up the descriptors that targets and other hosts need. Change: callers may hold three quarters of `limits.max_fds` (4,096 if it is not set) less 200 for files. At the bound, idle connections are closed first, of the address with the most connections, the longest idle first; a connection whose request is still arriving gives way only to an address with fewer connections, which never happens behind a load balancer. Connections with a request to be answered are not closed. A new one that finds no room gets a 503 with Retry-After before it is read.

--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -118,6 +118,7 @@
                 self._proxy.check_head,
             ),
             self._proxy.handle,
+            settings.max_descriptors,
         )
         self._feed = options.create_feed(
             FeedDependencies(
@@ -262,6 +263,9 @@
             'hosts_usable': len(self._node.membership.usable_hosts()),
             'hosts_known': len(self._node.membership.hosts),
             'body_memory_bytes': self._bodies.held_bytes,
+            'caller_connections': len(self._frontend.connections),
+            'connections_closed_for_others': self._frontend.limit.closed,
+            'connections_refused': self._frontend.limit.refused,
             'answer_memory_bytes': self._answers.held_bytes,
             'answers_evicted': self._answers.evicted,
             'connections_opened': self._upstream.opened,
--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -11,9 +11,11 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from foxtailreach.core.caller_connections import ConnectionState
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.answer_memory import HeldAnswer
+from foxtailreach.gateway.caller_limit import CallerLimit, refusal_bytes
 from foxtailreach.gateway.chunk_reader import close_stream
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -21,11 +23,17 @@
     find_header,
     forwarded_headers,
 )
+from foxtailreach.gateway.pending_answer import (
+    PendingAnswer,
+    rejected_answer,
+    wants_close,
+)
 from foxtailreach.gateway.request_reader import (
     ReaderOptions,
     RequestError,
     RequestReader,
 )
+from foxtailreach.gateway.settings import DEFAULT_MAX_DESCRIPTORS
 
 # Bound on the requests of one connection that wait for their answers.
 MAX_PIPELINED_REQUESTS = 16
@@ -46,9 +54,11 @@
         self,
         options: ReaderOptions,
         handle: Handle,
+        max_descriptors: int = DEFAULT_MAX_DESCRIPTORS,
     ) -> None:
-        """Serve each request with `handle`."""
+        """Serve each request with `handle`, on a limited number of streams."""
         super().__init__(max_buffer_size=MAX_BUFFER_BYTES)
+        self.limit = CallerLimit.from_descriptors(max_descriptors)
         self.is_stopping = False
         self.connections: set[CallerConnection] = set()
         self._options = options
@@ -59,19 +69,34 @@
         """Whether no connection has an unanswered request."""
         return not any(connection.unanswered for connection in self.connections)
 
-    async def handle_stream(
+    def handle_stream(
         self,
         stream: IOStream,
         address: tuple[str, int],
-    ) -> None:
-        """Serve one connection until it closes."""
+    ) -> Awaitable[None] | None:
+        """Serve one connection until it closes, if there is room for it.
+
+        This is decided at once, as many are accepted at a time.
+        """
+        if not self.limit.admit(address[0], self.connections):
+            with suppress(StreamClosedError):
+                stream.write(refusal_bytes())
+            stream.close()
+            return None
         stream.set_nodelay(True)
         connection = CallerConnection(stream, self._options, self._handle, self)
+        connection.address = address[0]
         self.connections.add(connection)
+        return self._serve(connection)
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         finally:
-            self.connections.discard(connection)
+            # Unless it was closed to make room for another one.
+            if connection in self.connections:
+                self.connections.discard(connection)
+                self.limit.remove(connection.address)
 
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
@@ -92,6 +117,7 @@
         '_reader',
         '_running',
         '_stream',
+        'address',
         'unanswered',
     )
 
@@ -104,6 +130,7 @@
     ) -> None:
         """Take over an accepted stream."""
         self.unanswered = 0
+        self.address = ''
         self._stream = stream
         self._options = options
         self._handle = handle
@@ -118,7 +145,7 @@
 
     async def serve(self) -> None:
         """Serve until the connection closes, then cancel what is in flight."""
-        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None]
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None]
         answers = asyncio.Queue(MAX_PIPELINED_REQUESTS)
         writer = asyncio.ensure_future(self._write_answers(answers))
         try:
@@ -136,6 +163,21 @@
         if not self.unanswered and not self._reader.is_reading:
             self._stream.close()
 
+    def unserved_state(self) -> ConnectionState | None:
+        """Return its state, or None while a request is to be answered."""
+        if self.unanswered:
+            return None
+        return ConnectionState(
+            id(self),
+            self.address,
+            not self._reader.is_reading,
+            self._idle_since_us,
+        )
+
+    def close(self) -> None:
+        """Close the connection to make room for another one."""
+        self._stream.close()
+
     def _cancel_running(self) -> None:
         """Cancel the requests in flight and close the connection."""
         for task in self._running:
@@ -146,7 +188,7 @@
 
     async def _read_requests(
         self,
-        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None],
     ) -> None:
         while not self._is_closing:
             if not await self._wait_for_request():
@@ -161,23 +203,23 @@
                 request = await self._reader.read(parser)
             except RequestError as rejection:
                 self._is_closing = True
-                await answers.put((parser, _pending_answer(rejection.answer)))
+                await answers.put((parser, rejected_answer(rejection.answer)))
                 self.unanswered += 1
                 return
             if request is None:
                 return
             # No variable here may keep the request or its answer, as they
             # would stay in memory until the next request arrives.
-            wants_close = _wants_close(request)
+            is_last = wants_close(request)
             pending = self._start(request)
             del request
             await answers.put((parser, pending))
             del parser, pending
-            if wants_close:
+            if is_last:
                 # Discard later bytes; reading still detects a disconnect.
                 await self._watch_until_answered()
 
-    def _start(self, request: CallerRequest) -> _PendingAnswer:
+    def _start(self, request: CallerRequest) -> PendingAnswer:
         """Serve a request in a task of its own."""
         self.unanswered += 1
         self._held_answers.add(request.held_answer)
@@ -187,7 +229,7 @@
         # Also if the task was cancelled before its first step, which happens
         # if the caller closed right after the last byte.
         task.add_done_callback(lambda _: request.release_body())
-        return _PendingAnswer(request, task)
+        return PendingAnswer(request, task)
 
     async def _wait_for_request(self) -> bool:
         """Wait until a request begins; False if none is to be read."""
@@ -246,7 +288,7 @@
 
     async def _write_answers(
         self,
-        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None],
     ) -> None:
         try:
             # No variable here may keep an answer that was sent, as it would
@@ -259,7 +301,7 @@
 
     def _end_answers(
         self,
-        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None],
     ) -> None:
         """Stop reading requests; one may wait for a place in the queue."""
         self._is_closing = True
@@ -268,7 +310,7 @@
             answers.get_nowait()
 
     async def _write_next(
-        self, entry: tuple[h11.Connection, _PendingAnswer] | None
+        self, entry: tuple[h11.Connection, PendingAnswer] | None
     ) -> bool:
         """Write an answer; False if it was the last one."""
         if entry is None:
@@ -319,7 +361,7 @@
             async with asyncio.timeout(idle_s):
                 await self._stream.write(view[start : start + WRITE_BYTES])
 
-    def _release_answer(self, pending: _PendingAnswer) -> None:
+    def _release_answer(self, pending: PendingAnswer) -> None:
         """Return the memory of an answer that was sent."""
         if pending.request is not None:
             self._held_answers.discard(pending.request.held_answer)
@@ -328,7 +370,7 @@
     def _encode(
         self,
         parser: h11.Connection,
-        pending: _PendingAnswer,
+        pending: PendingAnswer,
         answer: CallerAnswer,
         must_close: bool,
     ) -> list[bytes | bytearray]:
@@ -355,39 +397,3 @@
             parts.extend(parser.send_with_data_passthrough(body) or ())
         parts.append(parser.send(h11.EndOfMessage()) or b'')
         return [part for part in parts if part]
-
-
-class _PendingAnswer:
-    """An answer that a task will produce, or one that exists already."""
-
-    __slots__ = ('_answer', '_task', 'request')
-
-    def __init__(
-        self,
-        request: CallerRequest | None,
-        task: asyncio.Task[CallerAnswer] | None,
-        answer: CallerAnswer | None = None,
-    ) -> None:
-        self.request = request
-        self._task = task
-        self._answer = answer
-
-    @property
-    def is_head(self) -> bool:
-        """Whether the answer must have no body."""
-        return self.request is not None and self.request.method == b'HEAD'
-
-    async def answer(self) -> CallerAnswer:
-        """Wait for the answer and return it."""
-        if self._answer is not None:
-            return self._answer
-        assert self._task is not None
-        return await self._task
-
-
-def _pending_answer(answer: CallerAnswer) -> _PendingAnswer:
-    return _PendingAnswer(None, None, answer)
-
-
-def _wants_close(request: CallerRequest) -> bool:
-    return b'close' in find_header(request.headers, b'connection').lower()
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -11,6 +11,8 @@
 from foxtailreach.core.units import MILLISECOND_US
 
 MAX_PORT = 65_535
+# The least that the hosts of a known deployment have.
+DEFAULT_MAX_DESCRIPTORS = 4096
 # Multicast and reserved addresses begin here; no host listens on those.
 FIRST_RESERVED_OCTET = 224
 
@@ -43,6 +45,7 @@
     `capacity` is the processor time of the host in hundredths of a core;
     `max_body_memory_bytes` bounds the memory for the bodies of all requests,
     `max_answer_memory_bytes` that for the answers to all of them.
+    `max_descriptors` bounds the open files and sockets of the process.
     The fleet must bear the loss of `tolerated_domain_losses` failure domains.
     """
 
@@ -63,6 +66,7 @@
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
     tolerated_domain_losses: int = 1
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     target_heartbeat_us: int = 1500 * MILLISECOND_US
 
     @property
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -12,7 +12,11 @@
 from foxtailreach.core.dispatch.meters import LimitPolicy
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.exceptions import SettingsError
-from foxtailreach.gateway.settings import Address, GatewaySettings
+from foxtailreach.gateway.settings import (
+    DEFAULT_MAX_DESCRIPTORS,
+    Address,
+    GatewaySettings,
+)
 
 SETTINGS_VARIABLE = 'FOXTAILREACH_CONFIG'
 # Retries in proportion to first sends add up over all brokers of a service; the
@@ -106,6 +110,7 @@
             overage=bounds.get('quota_overage', 0),
             slack=bounds.get('quota_slack', 0),
         ),
+        max_descriptors=int(limits.get('max_fds', DEFAULT_MAX_DESCRIPTORS)),
         tolerated_domain_losses=int(
             tolerated.get('zones', DEFAULT_DOMAIN_LOSSES)
         ),
