--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -11,20 +11,29 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from foxtailreach.core.caller_connections import ConnectionState
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
 from foxtailreach.gateway.answer_memory import HeldAnswer
+from foxtailreach.gateway.caller_limit import CallerLimit, refusal_bytes
+from foxtailreach.gateway.chunk_reader import close_stream
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
     find_header,
     forwarded_headers,
 )
+from foxtailreach.gateway.pending_answer import (
+    PendingAnswer,
+    rejected_answer,
+    wants_close,
+)
 from foxtailreach.gateway.request_reader import (
     ReaderOptions,
     RequestError,
     RequestReader,
 )
+from foxtailreach.gateway.settings import DEFAULT_MAX_DESCRIPTORS
 
 # Bound on the requests of one connection that wait for their answers.
 MAX_PIPELINED_REQUESTS = 16
@@ -45,9 +54,11 @@
         self,
         options: ReaderOptions,
         handle: Handle,
+        max_descriptors: int = DEFAULT_MAX_DESCRIPTORS,
     ) -> None:
-        """Serve each request with `handle`."""
+        """Serve each request with `handle`, on a limited number of streams."""
         super().__init__(max_buffer_size=MAX_BUFFER_BYTES)
+        self.limit = CallerLimit.from_descriptors(max_descriptors)
         self.is_stopping = False
         self.connections: set[CallerConnection] = set()
         self._options = options
@@ -58,19 +69,34 @@
         """Whether no connection has an unanswered request."""
         return not any(connection.unanswered for connection in self.connections)
 
-    async def handle_stream(
+    def handle_stream(
         self,
         stream: IOStream,
         address: tuple[str, int],
-    ) -> None:
-        """Serve one connection until it closes."""
+    ) -> Awaitable[None] | None:
+        """Serve one connection until it closes, if there is room for it.
+
+        This is decided at once, as many are accepted at a time.
+        """
+        if not self.limit.admit(address[0], self.connections):
+            with suppress(StreamClosedError):
+                stream.write(refusal_bytes())
+            stream.close()
+            return None
         stream.set_nodelay(True)
         connection = CallerConnection(stream, self._options, self._handle, self)
+        connection.address = address[0]
         self.connections.add(connection)
+        return self._serve(connection)
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         finally:
-            self.connections.discard(connection)
+            # Unless it was closed to make room for another one.
+            if connection in self.connections:
+                self.connections.discard(connection)
+                self.limit.remove(connection.address)
 
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
@@ -91,6 +117,7 @@
         '_reader',
         '_running',
         '_stream',
+        'address',
         'unanswered',
     )
 
@@ -103,6 +130,7 @@
     ) -> None:
         """Take over an accepted stream."""
         self.unanswered = 0
+        self.address = ''
         self._stream = stream
         self._options = options
         self._handle = handle
@@ -117,7 +145,7 @@
 
     async def serve(self) -> None:
         """Serve until the connection closes, then cancel what is in flight."""
-        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None]
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None]
         answers = asyncio.Queue(MAX_PIPELINED_REQUESTS)
         writer = asyncio.ensure_future(self._write_answers(answers))
         try:
@@ -135,17 +163,32 @@
         if not self.unanswered and not self._reader.is_reading:
             self._stream.close()
 
+    def unserved_state(self) -> ConnectionState | None:
+        """Return its state, or None while a request is to be answered."""
+        if self.unanswered:
+            return None
+        return ConnectionState(
+            id(self),
+            self.address,
+            not self._reader.is_reading,
+            self._idle_since_us,
+        )
+
+    def close(self) -> None:
+        """Close the connection to make room for another one."""
+        self._stream.close()
+
     def _cancel_running(self) -> None:
         """Cancel the requests in flight and close the connection."""
         for task in self._running:
             task.cancel()
         for held_answer in self._held_answers:
             held_answer.close()
-        self._stream.close()
+        close_stream(self._stream)
 
     async def _read_requests(
         self,
-        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None],
     ) -> None:
         while not self._is_closing:
             if not await self._wait_for_request():
@@ -160,21 +203,34 @@
                 request = await self._reader.read(parser)
             except RequestError as rejection:
                 self._is_closing = True
-                await answers.put((parser, _pending_answer(rejection.answer)))
+                await answers.put((parser, rejected_answer(rejection.answer)))
                 self.unanswered += 1
                 return
             if request is None:
                 return
-            self.unanswered += 1
-            self._held_answers.add(request.held_answer)
-            task = asyncio.ensure_future(self._run(request))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
-            await answers.put((parser, _PendingAnswer(request, task)))
-            if _wants_close(request):
+            # No variable here may keep the request or its answer, as they
+            # would stay in memory until the next request arrives.
+            is_last = wants_close(request)
+            pending = self._start(request)
+            del request
+            await answers.put((parser, pending))
+            del parser, pending
+            if is_last:
                 # Discard later bytes; reading still detects a disconnect.
                 await self._watch_until_answered()
 
+    def _start(self, request: CallerRequest) -> PendingAnswer:
+        """Serve a request in a task of its own."""
+        self.unanswered += 1
+        self._held_answers.add(request.held_answer)
+        task = asyncio.ensure_future(self._run(request))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        # Also if the task was cancelled before its first step, which happens
+        # if the caller closed right after the last byte.
+        task.add_done_callback(lambda _: request.release_body())
+        return PendingAnswer(request, task)
+
     async def _wait_for_request(self) -> bool:
         """Wait until a request begins; False if none is to be read."""
         wait_us = self._idle_left_us()
@@ -225,44 +281,63 @@
             await asyncio.sleep(MILLISECOND_US / SECOND_US)
 
     async def _run(self, request: CallerRequest) -> CallerAnswer:
-        try:
-            answer = await self._handle(request)
-        finally:
-            self._reader.release(request)
+        answer = await self._handle(request)
         # From here on it waits for its caller.
         request.held_answer.assign(id(self), self._stream.close)
         return answer
 
     async def _write_answers(
         self,
-        answers: asyncio.Queue[tuple[h11.Connection, _PendingAnswer] | None],
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None],
     ) -> None:
-        while True:
-            entry = await answers.get()
-            if entry is None:
-                return
-            parser, pending = entry
-            answer = await pending.answer()
-            is_last = self._frontend.is_stopping and self.unanswered == 1
-            must_close = answer.must_close or is_last
-            if must_close:
-                self._is_closing = True
-            try:
-                parts = self._encode(parser, pending, answer, must_close)
-            except h11.LocalProtocolError as error:
-                logger.error('answer cannot be sent: {}', error)
-                self._stream.close()
-                return
-            with suppress(StreamClosedError):
-                await self._write_parts(parts)
-            self._release_answer(pending)
-            self.unanswered -= 1
-            self._idle_since_us = boot_time_us()
-            if must_close or parser.our_state is h11.MUST_CLOSE:
-                self._stream.close()
-                return
+        try:
+            # No variable here may keep an answer that was sent, as it would
+            # stay in memory until the next one.
+            is_open = True
+            while is_open:
+                is_open = await self._write_next(await answers.get())
+        finally:
+            self._end_answers(answers)
+
+    def _end_answers(
+        self,
+        answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None],
+    ) -> None:
+        """Stop reading requests; one may wait for a place in the queue."""
+        self._is_closing = True
+        self._stream.close()
+        while not answers.empty():
+            answers.get_nowait()
+
+    async def _write_next(
+        self, entry: tuple[h11.Connection, PendingAnswer] | None
+    ) -> bool:
+        """Write an answer; False if it was the last one."""
+        if entry is None:
+            return False
+        parser, pending = entry
+        answer = await pending.answer()
+        is_last = self._frontend.is_stopping and self.unanswered == 1
+        must_close = answer.must_close or is_last
+        if must_close:
+            self._is_closing = True
+        try:
+            parts = self._encode(parser, pending, answer, must_close)
+        except h11.LocalProtocolError as error:
+            logger.error('answer cannot be sent: {}', error)
+            self._stream.close()
+            return False
+        with suppress(StreamClosedError):
+            await self._write_parts(parts)
+        self._release_answer(pending)
+        self.unanswered -= 1
+        self._idle_since_us = boot_time_us()
+        if must_close or parser.our_state is h11.MUST_CLOSE:
+            self._stream.close()
+            return False
+        return True
 
-    async def _write_parts(self, parts: list[bytes]) -> None:
+    async def _write_parts(self, parts: list[bytes | bytearray]) -> None:
         """Write an answer; a large body is not copied.
 
         Close the connection if the caller reads nothing for its idle time.
@@ -277,14 +352,16 @@
             logger.info('a caller does not read its answer')
             self._stream.close()
 
-    async def _write_in_time(self, part: bytes, idle_s: float) -> None:
+    async def _write_in_time(
+        self, part: bytes | bytearray, idle_s: float
+    ) -> None:
         """Write a part; raise TimeoutError if a piece is not taken in time."""
         view = memoryview(part)
         for start in range(0, len(part), WRITE_BYTES):
             async with asyncio.timeout(idle_s):
                 await self._stream.write(view[start : start + WRITE_BYTES])
 
-    def _release_answer(self, pending: _PendingAnswer) -> None:
+    def _release_answer(self, pending: PendingAnswer) -> None:
         """Return the memory of an answer that was sent."""
         if pending.request is not None:
             self._held_answers.discard(pending.request.held_answer)
@@ -293,10 +370,10 @@
     def _encode(
         self,
         parser: h11.Connection,
-        pending: _PendingAnswer,
+        pending: PendingAnswer,
         answer: CallerAnswer,
         must_close: bool,
-    ) -> list[bytes]:
+    ) -> list[bytes | bytearray]:
         """Return the head, and the body if there is one."""
         headers = forwarded_headers(answer.headers, frozenset())
         if pending.request is not None and pending.request.request_id:
@@ -313,44 +390,10 @@
             headers=headers,
             reason=answer.phrase,
         )
-        parts = [parser.send(response) or b'']
+        parts: list[bytes | bytearray] = [parser.send(response) or b'']
         if answer.body and not pending.is_head:
-            parts.append(parser.send(h11.Data(data=answer.body)) or b'')
+            body = h11.Data(data=answer.body)  # type: ignore[arg-type]
+            # `send` would copy the body.
+            parts.extend(parser.send_with_data_passthrough(body) or ())
         parts.append(parser.send(h11.EndOfMessage()) or b'')
         return [part for part in parts if part]
-
-
-class _PendingAnswer:
-    """An answer that a task will produce, or one that exists already."""
-
-    __slots__ = ('_answer', '_task', 'request')
-
-    def __init__(
-        self,
-        request: CallerRequest | None,
-        task: asyncio.Task[CallerAnswer] | None,
-        answer: CallerAnswer | None = None,
-    ) -> None:
-        self.request = request
-        self._task = task
-        self._answer = answer
-
-    @property
-    def is_head(self) -> bool:
-        """Whether the answer must have no body."""
-        return self.request is not None and self.request.method == b'HEAD'
-
-    async def answer(self) -> CallerAnswer:
-        """Wait for the answer and return it."""
-        if self._answer is not None:
-            return self._answer
-        assert self._task is not None
-        return await self._task
-
-
-def _pending_answer(answer: CallerAnswer) -> _PendingAnswer:
-    return _PendingAnswer(None, None, answer)
-
-
-def _wants_close(request: CallerRequest) -> bool:
-    return b'close' in find_header(request.headers, b'connection').lower()
