Correct the description of forgetting a target

Cause: it named restarts too, after which the slowness of a target is kept.

Change: the doc comment only.

Result: tests of costs and of the broker pass.

--- a/foxtailreach/core/dispatch/request_costs.py
+++ b/foxtailreach/core/dispatch/request_costs.py
@@ -256,7 +256,7 @@
         return target.factor / self._common_factor
 
     def forget_target(self, target_id: str) -> None:
-        """Forget a target that has left or started again."""
+        """Forget a target that has left."""
         self._targets.pop(target_id, None)
 
     def digest(self) -> tuple[ClassCost, ...]:
