Treat responses with an invalid status or version as lost

Cause: the parser admits any three digits as a status and any version, so 600, 999, HTTP/0.9 and HTTP/2.0 reached callers. Change: they count as a lost answer, also after an interim response and on a kept-alive connection.

--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -34,6 +34,12 @@
     forwarded_headers,
 )
 from foxtailreach.gateway.notice_reader import read_notice
+from foxtailreach.gateway.target_protocol import (
+    ConnectionLostError,
+    check_response,
+    may_lack_id,
+    serialize,
+)
 
 # A connection opens within 3 ms; if the first packet is lost, TCP resends it
 # after 1 s.
@@ -55,8 +61,6 @@
 # Other tasks run after so many parts, which takes less than 1 ms.
 PARTS_PER_TURN = 8
 MAX_INTERIM_ANSWERS = 16
-# Smaller bodies are sent together with their head, in one packet if they fit.
-MAX_JOINED_BYTES = 16_384
 # Answers to earlier requests are skipped; after this many answers without
 # the right one the connection is closed.
 MAX_STALE_ANSWERS = 3
@@ -85,10 +89,6 @@
     notice: TargetNotice = NO_NOTICE
 
 
-class _ConnectionLostError(Exception):
-    """The connection broke or delivered no valid answer."""
-
-
 class TargetConnection:
     """A connection to a target, used by one request at a time."""
 
@@ -166,7 +166,7 @@
 
         Answers that echo the id of another request are skipped, and so are
         those that echo none if they may belong to another one. Raises
-        _ConnectionLostError if no complete answer arrives within
+        ConnectionLostError if no complete answer arrives within
         `MAX_ANSWER_BYTES`.
         """
         self._received_bytes = 0
@@ -180,7 +180,7 @@
             response, answer_body = await self._read_answer(parser)
             echoed = find_header(list(response.headers), id_header)
             if echoed == request_id or (
-                not echoed and _may_lack_id(response, is_first=is_first)
+                not echoed and may_lack_id(response, is_first=is_first)
             ):
                 self._check_reuse(parser, response)
                 return response, answer_body
@@ -188,14 +188,14 @@
             if is_closed or parser.their_state is h11.MUST_CLOSE:
                 break
             self.must_close = True
-            parser, _ = _serialize(request, body)
+            parser, _ = serialize(request, body)
             if trailing:
                 parser.receive_data(trailing)
-        raise _ConnectionLostError('received only answers to other requests')
+        raise ConnectionLostError('received only answers to other requests')
 
     def _send(self, request: h11.Request, body: bytes) -> h11.Connection:
         """Send a request; return the parser of its answer."""
-        parser, parts = _serialize(request, body)
+        parser, parts = serialize(request, body)
         for part in parts:
             written = self.stream.write(part)
             written.add_done_callback(_ignore_result)
@@ -217,7 +217,7 @@
                     self._body = bytearray()
                     return response, body
                 case _:
-                    raise _ConnectionLostError(
+                    raise ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
                     )
 
@@ -226,14 +226,15 @@
             event = await self._read_event(parser)
             match event:
                 case h11.Response():
+                    check_response(event)
                     return event
                 case h11.InformationalResponse():
-                    continue
+                    check_response(event)
                 case _:
-                    raise _ConnectionLostError(
+                    raise ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
                     )
-        raise _ConnectionLostError('too many interim answers')
+        raise ConnectionLostError('too many interim answers')
 
     async def _read_event(self, parser: h11.Connection) -> object:
         while True:
@@ -249,14 +250,14 @@
         free_parts = FREE_ANSWER_PARTS + FREE_PARTS_PER_READ * self._reads
         by_size = self._received_bytes // MIN_BYTES_PER_PART
         if self._parts > min(MAX_ANSWER_PARTS, free_parts + by_size):
-            raise _ConnectionLostError('answer comes in too many parts')
+            raise ConnectionLostError('answer comes in too many parts')
         if self._parts % PARTS_PER_TURN == 0:
             await asyncio.sleep(0)
 
     async def _read_chunk(self) -> bytes:
         """Return the next bytes; b'' at a clean end of the stream.
 
-        Raises _ConnectionLostError if the connection was reset, or if the
+        Raises ConnectionLostError if the connection was reset, or if the
         target has sent too much.
         """
         try:
@@ -267,18 +268,18 @@
         self._reads += 1
         self._received_bytes += len(chunk)
         if self._received_bytes > MAX_ANSWER_BYTES:
-            raise _ConnectionLostError('answer exceeds the size limit')
+            raise ConnectionLostError('answer exceeds the size limit')
         held_answer = self._held_answer
         if held_answer is not None and not held_answer.grow(len(chunk)):
-            raise _ConnectionLostError(_OUT_OF_MEMORY)
+            raise ConnectionLostError(_OUT_OF_MEMORY)
         return chunk
 
     def _check_end(self, error: StreamClosedError) -> None:
-        """Raise _ConnectionLostError unless the target has ended the stream."""
+        """Raise ConnectionLostError unless the target has ended the stream."""
         if self._held_answer is not None and self._held_answer.is_evicted:
-            raise _ConnectionLostError(_OUT_OF_MEMORY) from error
+            raise ConnectionLostError(_OUT_OF_MEMORY) from error
         if error.real_error is not None or self.stream.error is not None:
-            raise _ConnectionLostError(
+            raise ConnectionLostError(
                 f'connection reset: {error.real_error}'
             ) from error
 
@@ -414,7 +415,7 @@
         except TimeoutError:
             return TargetAnswer(SendOutcome.TIMED_OUT)
         except (
-            _ConnectionLostError,
+            ConnectionLostError,
             StreamClosedError,
             h11.RemoteProtocolError,
         ) as error:
@@ -566,30 +567,6 @@
     return TargetConnection(stream)
 
 
-def _may_lack_id(response: h11.Response, *, is_first: bool) -> bool:
-    """Tell whether an answer without an id can be that of the request.
-
-    A target may refuse a request before it reads the id. On a reused
-    connection it may as well be a late copy of another answer.
-    """
-    return is_first and response.status_code not in _SUCCESS
-
-
-def _serialize(
-    request: h11.Request,
-    body: bytes,
-) -> tuple[h11.Connection, list[bytes]]:
-    """Return the parser and what is to be sent; a large body is not copied."""
-    parser = h11.Connection(h11.CLIENT)
-    parts = [parser.send(request) or b'']
-    if body:
-        parts.append(parser.send(h11.Data(data=body)) or b'')
-    parts.append(parser.send(h11.EndOfMessage()) or b'')
-    if len(body) <= MAX_JOINED_BYTES:
-        return parser, [b''.join(parts)]
-    return parser, [part for part in parts if part]
-
-
 def _ignore_result(future: asyncio.Future[Any]) -> None:
     """Mark an exception as retrieved; the reader of the stream handles it."""
     with suppress(asyncio.CancelledError):
