Do not wait for targets before the body of a request

Cause: with a configuration but no targets, the check of a head and the request itself each waited 0.6 s for a target. Change: the check of a head waits for a configuration only.

--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -167,7 +167,8 @@
     async def check_head(self, request: CallerRequest) -> Rejection | None:
         """Return why a request is rejected whatever its body is, if it is."""
         trace = RequestTrace(request.request_id)
-        found = await self._find_route(request, trace)
+        # `handle` waits for targets; waiting here too would double the time.
+        found = await self._find_route(request, trace, needs_targets=False)
         if isinstance(found, CallerAnswer):
             return Rejection(found, trace)
         return None
@@ -203,7 +204,7 @@
         request: CallerRequest,
         trace: RequestTrace,
     ) -> CallerAnswer:
-        found = await self._find_route(request, trace)
+        found = await self._find_route(request, trace, needs_targets=True)
         if isinstance(found, CallerAnswer):
             return found
         route, customer = found
@@ -213,11 +214,15 @@
         self,
         request: CallerRequest,
         trace: RequestTrace,
+        *,
+        needs_targets: bool,
     ) -> CallerAnswer | tuple[RouteSpec, CustomerSpec | None]:
         """Return the route and customer of a request, or its refusal."""
         if self._is_refusing_new:
             return _unavailable_answer(Reason.STOPPING, STOPPING_RETRY_US)
-        deployment = await self._wait_for_deployment()
+        deployment = await self._wait_for_deployment(
+            needs_targets=needs_targets
+        )
         if deployment is None:
             return _unavailable_answer(
                 Reason.NO_CONFIGURATION, NOT_READY_RETRY_US
@@ -242,11 +247,15 @@
             )
         return route, customer
 
-    async def _wait_for_deployment(self) -> Deployment | None:
+    async def _wait_for_deployment(
+        self, *, needs_targets: bool
+    ) -> Deployment | None:
         """Return the configuration; wait briefly until it and targets exist."""
         with suppress(TimeoutError):
             async with asyncio.timeout(CONFIGURATION_WAIT_S):
-                while self._node.deployment is None or not self._node.targets:
+                while self._node.deployment is None or (
+                    needs_targets and not self._node.targets
+                ):
                     await asyncio.sleep(CONFIGURATION_CHECK_S)
         return self._node.deployment
 
