Let the rate at which a queue drains count for its estimate

Change: the queue measures the work that gets slots after a wait, which counts as room if it is the higher figure; a quarter of the room is left by better ranks.

--- a/foxtailreach/core/dispatch/inflow.py
+++ b/foxtailreach/core/dispatch/inflow.py
@@ -15,7 +15,7 @@
 AVERAGE_US = SECOND_US
 # A burst may end before the deadline of the request, so that some of the slots
 # are always expected to be left to it.
-MIN_ROOM_SHARE = 0.1
+MIN_ROOM_SHARE = 0.25
 
 # Whether a request is surplus to a limit, and its priority.
 ArrivalRank = tuple[int, int]
@@ -41,6 +41,11 @@
             self._updated_us = now_us
         self._work_us[rank] = self._work_us.get(rank, 0) + work_us
 
+    def slots(self, now_us: int) -> float:
+        """Return the slots that the work of the last second keeps busy."""
+        factor = math.exp(-max(0, now_us - self._updated_us) / AVERAGE_US)
+        return factor * sum(self._work_us.values()) / AVERAGE_US
+
     def room_left(self, room: int, before: ArrivalRank, now_us: int) -> float:
         """Return the slots that are left after all work before a rank."""
         factor = math.exp(-max(0, now_us - self._updated_us) / AVERAGE_US)
--- a/foxtailreach/core/dispatch/wait_queue.py
+++ b/foxtailreach/core/dispatch/wait_queue.py
@@ -47,6 +47,7 @@
         '_ranks',
         '_retries',
         '_sequence',
+        '_started',
         '_waiters',
         'shares',
         'work_us',
@@ -57,6 +58,8 @@
         self.shares = FairShares(now_us)
         self.work_us = 0
         self._inflow = Inflow(now_us)
+        # The work that got slots after a wait.
+        self._started = Inflow(now_us)
         self._margins = AdmissionMargins()
         self._waiters: dict[Holder, Waiter] = {}
         self._ranks: dict[Rank, RankQueue] = {}
@@ -121,6 +124,8 @@
         self._pop(waiter, now_us)
         if now_us > waiter.enqueued_us:
             self._margins.record_granted(_margin_key(waiter), now_us)
+            rank = (waiter.rank[0], waiter.rank[2])
+            self._started.add(rank, waiter.work_us, now_us)
         customer = waiter.slot_request.customer
         self.shares.start(_holder(waiter), customer, waiter.work_us, now_us)
         self._refresh(customer, now_us)
@@ -149,8 +154,10 @@
 
         More work of better ranks is expected to arrive at its recent rate. A
         request whose turn comes too late for its objective waits behind all
-        that are in time, whatever its priority.
+        that are in time, whatever its priority. The queue may drain faster than
+        by `room`, as when targets decline requests at once.
         """
+        room = max(room, int(self._started.slots(now_us)))
         ahead_us = self._ahead_us(waiter, waiter.rank, now_us)
         left = self._room_left(waiter.rank, room, now_us)
         wait_us = int((ahead_us + waiter.work_us) / left)
