Explain a placement on a copy of the broker's state

Cause: an operator can't see why a request goes to a target, waits or is refused, without sending one.

Change: FleetNode.explain copies the state of a pool's broker, runs the broker's own request_slot on the copy and describes the targets as they were before. PlacementQuery and PlacementReport carry question and answer between hosts. choose_target tells by which rule it chooses.

--- a/foxtailreach/core/dispatch/broker.py
+++ b/foxtailreach/core/dispatch/broker.py
@@ -12,6 +12,7 @@
 
 from foxtailreach.core.crashes import CrashTracker
 from foxtailreach.core.dispatch import messages
+from foxtailreach.core.dispatch.ages import age_us, timestamp_us
 from foxtailreach.core.dispatch.budgets import RetryBudget, RetryPolicy
 from foxtailreach.core.dispatch.cover import (
     CoverageDemand,
@@ -36,9 +37,12 @@
     Refusals,
     accept_requests,
     count_room,
+    has_free_slot,
+    pause_left_us,
 )
 from foxtailreach.core.dispatch.request_costs import (
     DEFAULT_SERVICE_TIME_US,
+    CostEstimate,
     RequestCosts,
 )
 from foxtailreach.core.dispatch.tail_rule import TailRule
@@ -122,6 +126,17 @@
     is_reported: bool
 
 
+# The types of the immutable objects that a broker keeps many of.
+IMMUTABLE_TYPES: tuple[type, ...] = (
+    CostEstimate,
+    EndedRequest,
+    Lease,
+    ServiceSpec,
+    TargetSpec,
+    messages.SlotRequest,
+)
+
+
 class Broker:
     """State machine that grants the slots of one service's targets."""
 
@@ -213,18 +228,41 @@
 
         It would not while others wait.
         """
-        if self._queue or self._pause_left_us(now_us):
+        if self._queue or pause_left_us(self.records.values(), now_us):
             return False
+        placement_request, state = self.placement_inputs(
+            host_id, domain, request, now_us
+        )
+        return has_target_by_evidence(
+            self.records.values(), placement_request, state, now_us
+        )
+
+    def placement_inputs(
+        self,
+        host_id: str,
+        domain: str,
+        request: messages.SlotRequest,
+        now_us: int,
+    ) -> tuple[PlacementRequest, PlacementState]:
+        """Return what the target of a new request is chosen by."""
         waiter = self._queue.prepare(
             host_id, domain, request, self.costs.expected_us(request), now_us
         )
         self._update_placement(now_us)
-        return has_target_by_evidence(
-            self.records.values(),
-            self._placement_request(waiter, now_us),
-            self._placement,
-            now_us,
-        )
+        return self._placement_request(waiter, now_us), self._placement
+
+    def expected_wait(
+        self, host_id: str, ask_id: int, now_us: int
+    ) -> OverloadInputs | None:
+        """Estimate what a queued request waits for; None if there is none."""
+        for waiter in self._queue.ordered(now_us):
+            known = (waiter.host_id, waiter.slot_request.ask_id)
+            if known == (host_id, ask_id):
+                room = self._room(now_us)
+                return OverloadInputs.from_queue(
+                    self._queue, waiter, room, now_us
+                )
+        return None
 
     @property
     def queued_work_us(self) -> int:
@@ -385,8 +423,8 @@
             record = self.records.get(entry.target_id)
             if record is not None:
                 record.merge_evidence(
-                    _timestamp_us(entry.served_age_us, now_us),
-                    _timestamp_us(entry.failed_age_us, now_us),
+                    timestamp_us(entry.served_age_us, now_us),
+                    timestamp_us(entry.failed_age_us, now_us),
                 )
                 self.costs.merge_slowness(
                     entry.target_id, entry.slowness_permille
@@ -400,8 +438,8 @@
         entries = tuple(
             messages.TargetEvidence(
                 target_id,
-                _age_us(record.last_served_us, now_us),
-                _age_us(record.last_failed_us, now_us),
+                age_us(record.last_served_us, now_us),
+                age_us(record.last_failed_us, now_us),
                 self.costs.slowness_permille(target_id),
             )
             for target_id, record in self.records.items()
@@ -471,7 +509,7 @@
         request: messages.SlotRequest,
         now_us: int,
     ) -> Effects:
-        pause_us = self._pause_left_us(now_us)
+        pause_us = pause_left_us(self.records.values(), now_us)
         if pause_us:
             self._outcomes.record_request(now_us, is_served=False)
             return [self.refusals.refuse_paused(host_id, request, pause_us)]
@@ -500,19 +538,21 @@
     def _serve_queue(self, now_us: int) -> Effects:
         if not len(self._queue):
             return []
-        pause_us = self._pause_left_us(now_us)
+        pause_us = pause_left_us(self.records.values(), now_us)
         if pause_us:
             return self._refuse_waiting(pause_us, now_us)
         self._update_placement(now_us)
         new_effects: Effects = []
-        if not self._has_free_slot(now_us):
+        if not has_free_slot(self.records.values(), now_us):
             return new_effects
         passed_over = PassedOver()
         for waiter in self._queue.ordered(now_us):
             record = self._choose_target(waiter, passed_over, now_us)
             if record is not None:
                 new_effects.append(self._grant(waiter, record, now_us))
-            if passed_over.is_full or not self._has_free_slot(now_us):
+            if passed_over.is_full or not has_free_slot(
+                self.records.values(), now_us
+            ):
                 break
         return new_effects
 
@@ -535,20 +575,6 @@
             passed_over.add(request)
         return record
 
-    def _pause_left_us(self, now_us: int) -> int:
-        """Return the time until the first target ends its pause.
-
-        0 if there is a target that does not pause, or none at all.
-        """
-        return min(
-            (
-                max(0, record.paused_until_us - now_us)
-                for record in self.records.values()
-                if record.accepts_work
-            ),
-            default=0,
-        )
-
     def _refuse_waiting(self, pause_us: int, now_us: int) -> Effects:
         """Refuse all waiting requests, as all targets pause."""
         new_effects: Effects = []
@@ -683,11 +709,6 @@
         if record is not None:
             record.release((host_id, ask_id))
 
-    def _has_free_slot(self, now_us: int) -> bool:
-        return any(
-            record.has_free_slot(now_us) for record in self.records.values()
-        )
-
     def _room(self, now_us: int) -> int:
         return count_room(
             self.records.values(),
@@ -713,11 +734,3 @@
     return messages.SendHost(
         host_id, messages.SlotQueued(request.ask_id, service_us)
     )
-
-
-def _age_us(timestamp_us: int, now_us: int) -> int:
-    return now_us - timestamp_us if timestamp_us else -1
-
-
-def _timestamp_us(age_us: int, now_us: int) -> int:
-    return now_us - age_us if age_us >= 0 else 0
--- a/foxtailreach/core/dispatch/fleet.py
+++ b/foxtailreach/core/dispatch/fleet.py
@@ -21,12 +21,14 @@
     Deployment,
     TargetSpec,
 )
+from foxtailreach.core.dispatch.explanation import explain_placement
 from foxtailreach.core.dispatch.granted_targets import has_left
 from foxtailreach.core.dispatch.holder_watch import HolderWatch
 from foxtailreach.core.dispatch.host_messages import Effects, HostMessages
 from foxtailreach.core.dispatch.metering import Metering
 from foxtailreach.core.dispatch.meters import LimitPolicy
 from foxtailreach.core.dispatch.mirror import NO_VERSION
+from foxtailreach.core.dispatch.placement_messages import PlacementReport
 from foxtailreach.core.dispatch.pool_messages import PoolStatus
 from foxtailreach.core.dispatch.pools import Pool, divided_services
 from foxtailreach.core.dispatch.reach import Reach
@@ -188,6 +190,11 @@
         """Identifier of this host."""
         return self._config.entry.host_id
 
+    @property
+    def domain(self) -> str:
+        """Failure domain of this host."""
+        return self._config.entry.domain
+
     def is_isolated(self, now_us: int) -> bool:
         """Tell whether all other hosts have been silent for too long.
 
@@ -200,7 +207,7 @@
     def pool_of(self, service: str) -> Pool:
         """Return the pool that this host's requests to a service go to."""
         if service in self._divided_services:
-            return Pool(service, self._config.entry.domain)
+            return Pool(service, self.domain)
         return Pool(service)
 
     def broker_hosts(self, pool: Pool, now_us: int) -> list[str]:
@@ -297,9 +304,7 @@
         """List the other coordinators of this host's failure domain."""
         return [
             host_id
-            for host_id in self._coordinators.of_domain(
-                self._config.entry.domain
-            )
+            for host_id in self._coordinators.of_domain(self.domain)
             if host_id != self.host_id and self.membership.is_usable(host_id)
         ]
 
@@ -309,8 +314,7 @@
             host_id
             for domain, host_ids in self._coordinators.by_domain().items()
             for host_id in host_ids
-            if domain != self._config.entry.domain
-            and self.membership.is_usable(host_id)
+            if domain != self.domain and self.membership.is_usable(host_id)
         ]
 
     @property
@@ -373,6 +377,16 @@
         new_effects.extend(self._brokers.notes(now_us))
         return new_effects
 
+    def explain(
+        self, sender: str, query: messages.PlacementQuery, now_us: int
+    ) -> PlacementReport:
+        """Tell what a request would get here; nothing is changed."""
+        standing = self._standing(query.request.service_name, now_us)
+        requester = Requester(sender, query.domain, standing)
+        return explain_placement(
+            self._brokers, requester, query.request, now_us
+        )
+
     def broker_gauges(self) -> dict[str, int]:
         """Return the metrics of the brokers of this host by name."""
         return self._brokers.gauges()
--- a/foxtailreach/core/dispatch/messages.py
+++ b/foxtailreach/core/dispatch/messages.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from foxtailreach.core.dispatch.deployment import RequestKind
+from foxtailreach.core.dispatch.placement_messages import PlacementReport
 from foxtailreach.core.dispatch.pool_messages import (
     CrashedTargets,
     PoolStatus,
@@ -119,6 +120,18 @@
     scope: SlotScope = SlotScope.FINAL
 
 
+@dataclass(slots=True, frozen=True)
+class PlacementQuery:
+    """Asks what a request from a failure domain would get, without sending it.
+
+    It changes nothing at the broker.
+    """
+
+    ask_id: int
+    domain: str
+    request: SlotRequest
+
+
 @dataclass(slots=True, frozen=True)
 class SlotGrant:
     """Grants a slot for one request on a target.
@@ -459,6 +472,8 @@
     | StateNotice
     | StatePull
     | StateCopy
+    | PlacementQuery
+    | PlacementReport
 )
 
 
--- a/foxtailreach/core/dispatch/placement.py
+++ b/foxtailreach/core/dispatch/placement.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -55,6 +56,21 @@
 SPARE_FACTOR = 2
 
 
+class PlacementRule(enum.StrEnum):
+    """The rule by which a target was chosen, in their order."""
+
+    COVERAGE = 'coverage'
+    PROBE = 'probe'
+    OWN_DOMAIN_DOWNLOAD = 'own-domain-download'
+    PROVEN = 'proven'
+    UNPROVEN = 'unproven'
+    LAST_RESORT = 'last-resort'
+
+
+# A target, or None if a request should wait, and why.
+Choice = tuple[TargetRecord | None, PlacementRule]
+
+
 @dataclass(slots=True, frozen=True)
 class PlacementRequest:
     """The properties of a request that determine its target.
@@ -105,27 +121,41 @@
     state: PlacementState,
     now_us: int,
 ) -> TargetRecord | None:
-    """Return the target for a request, or None if it should wait.
+    """Return the target for a request, or None if it should wait."""
+    return choose_by_rule(records, request, state, now_us)[0]
+
+
+def choose_by_rule(
+    records: Iterable[TargetRecord],
+    request: PlacementRequest,
+    state: PlacementState,
+    now_us: int,
+) -> Choice:
+    """Return the target for a request and the rule that selects it.
 
-    Targets that the coverage floor needs come first, then probes, then proven
-    targets. Unproven ones and then ejected ones are the last resort.
+    The target is None if the request should wait. Targets that the coverage
+    floor needs come first, then probes, then proven targets. Unproven ones and
+    then ejected ones are the last resort.
     """
     records = _usable(records, state, now_us)
     groups, proven_slots = _group_by_status(records, request, state, now_us)
-    chosen = _choose_by_evidence(
+    choice = _choose_by_evidence(
         records, groups, request, state, now_us, proven_slots
     )
-    if chosen is not None:
-        return chosen
+    if choice[0] is not None:
+        return choice
     if (
         proven_slots
         and not request.may_probe
         and request.waited_us < PROVEN_WAIT_US
     ):
-        return None
-    if groups[TargetStatus.UNPROVEN]:
-        return _cheapest(groups[TargetStatus.UNPROVEN], request, state, now_us)
-    return _oldest_failure(groups[TargetStatus.EJECTED])
+        return choice
+    unproven = groups[TargetStatus.UNPROVEN]
+    if unproven:
+        cheapest = _cheapest(unproven, request, state, now_us)
+        return cheapest, PlacementRule.UNPROVEN
+    ejected = _oldest_failure(groups[TargetStatus.EJECTED])
+    return ejected, PlacementRule.LAST_RESORT
 
 
 def has_target_by_evidence(
@@ -138,10 +168,10 @@
     records = _usable(records, state, now_us)
     groups, proven_slots = _group_by_status(records, request, state, now_us)
     # A probe that is not sent must not count as one.
-    chosen = _choose_by_evidence(
+    choice = _choose_by_evidence(
         records, groups, request, replace(state), now_us, proven_slots
     )
-    return chosen is not None
+    return choice[0] is not None
 
 
 def _usable(
@@ -160,10 +190,10 @@
     state: PlacementState,
     now_us: int,
     proven_slots: int,
-) -> TargetRecord | None:
+) -> Choice:
     underused = _underused(records, request, state, now_us)
     if underused is not None:
-        return underused
+        return underused, PlacementRule.COVERAGE
     probe = _choose_probe(
         groups[TargetStatus.UNPROVEN],
         request,
@@ -172,13 +202,14 @@
         proven_slots,
     )
     if probe is not None:
-        return probe
+        return probe, PlacementRule.PROBE
     local = _local_download(groups, request, state, now_us)
     if local is not None:
-        return local
-    if groups[TargetStatus.PROVEN]:
-        return _cheapest(groups[TargetStatus.PROVEN], request, state, now_us)
-    return None
+        return local, PlacementRule.OWN_DOMAIN_DOWNLOAD
+    proven = groups[TargetStatus.PROVEN]
+    if not proven:
+        return None, PlacementRule.PROVEN
+    return _cheapest(proven, request, state, now_us), PlacementRule.PROVEN
 
 
 def _group_by_status(
@@ -271,11 +302,11 @@
     now_us: int,
 ) -> TargetRecord:
     return min(
-        records, key=lambda record: _cost_us(record, request, state, now_us)
+        records, key=lambda record: cost_us(record, request, state, now_us)
     )
 
 
-def _cost_us(
+def cost_us(
     record: TargetRecord,
     request: PlacementRequest,
     state: PlacementState,
@@ -283,26 +314,26 @@
 ) -> int:
     """Express age of evidence, connection and distance as one cost."""
     if record.last_served_us > record.last_failed_us:
-        cost_us = now_us - record.last_served_us
+        total_us = now_us - record.last_served_us
     else:
         # The cost of a failure decreases with its age, to 0 after 30 s.
-        cost_us = max(0, 30 * SECOND_US - (now_us - record.last_failed_us))
+        total_us = max(0, 30 * SECOND_US - (now_us - record.last_failed_us))
     if record.spec.target_id not in request.connected:
-        cost_us += (
+        total_us += (
             NEW_CONNECTION_REPEATABLE_COST_US
             if request.may_repeat
             else NEW_CONNECTION_COST_US
         )
     if record.spec.domain != request.domain:
-        cost_us += _remote_cost_us(request.kind, state)
+        total_us += _remote_cost_us(request.kind, state)
     if record.is_warming_up(now_us):
-        cost_us += SECOND_US
+        total_us += SECOND_US
     if request.estimate is not None and state.costs is not None:
         slowness = state.costs.slowness(record.spec.target_id)
-        cost_us += _finish_cost_us(
+        total_us += _finish_cost_us(
             request.estimate, slowness, request.objective_left_us
         )
-    return cost_us
+    return total_us
 
 
 def _finish_cost_us(
@@ -310,12 +341,20 @@
 ) -> int:
     """Express the expected finish of a request as a cost."""
     finish_us = expected_finish_us(estimate.mean_us, slowness)
-    spread_us = expected_finish_us(estimate.deviation_us, slowness)
-    if finish_us + LATE_DEVIATIONS * spread_us > objective_left_us:
+    if finishes_late(estimate, slowness, objective_left_us):
         return finish_us + LATE_FINISH_COST_US
     return finish_us
 
 
+def finishes_late(
+    estimate: CostEstimate, slowness: float, objective_left_us: int
+) -> bool:
+    """Tell whether a request would probably miss its objective."""
+    finish_us = expected_finish_us(estimate.mean_us, slowness)
+    spread_us = expected_finish_us(estimate.deviation_us, slowness)
+    return finish_us + LATE_DEVIATIONS * spread_us > objective_left_us
+
+
 def _remote_cost_us(kind: RequestKind, state: PlacementState) -> int:
     match kind:
         case RequestKind.DOWNLOAD:
--- a/foxtailreach/core/dispatch/pool_status.py
+++ b/foxtailreach/core/dispatch/pool_status.py
@@ -44,3 +44,16 @@
         if status is TargetStatus.PROVEN and record.has_free_slot(now_us):
             free += record.spec.slots - len(record.granted)
     return max(0, free - math.ceil(RESERVED_SHARE * total))
+
+
+def has_untried_room(broker: Broker, now_us: int) -> bool:
+    """Tell whether a pool has free slots, and evidence on no target."""
+    service_us = broker.service_time_us
+    records = broker.records.values()
+    is_untried = all(
+        record.status(now_us, service_us) is TargetStatus.UNPROVEN
+        for record in records
+    )
+    return is_untried and any(
+        record.has_free_slot(now_us) for record in records
+    )
--- a/foxtailreach/core/dispatch/refusals.py
+++ b/foxtailreach/core/dispatch/refusals.py
@@ -175,6 +175,26 @@
     )
 
 
+def has_free_slot(records: Iterable[TargetRecord], now_us: int) -> bool:
+    """Tell whether a target may get one more request now."""
+    return any(record.has_free_slot(now_us) for record in records)
+
+
+def pause_left_us(records: Iterable[TargetRecord], now_us: int) -> int:
+    """Return the time until the first target ends its pause.
+
+    0 if there is a target that does not pause, or none at all.
+    """
+    return min(
+        (
+            max(0, record.paused_until_us - now_us)
+            for record in records
+            if record.accepts_work
+        ),
+        default=0,
+    )
+
+
 def count_room(
     records: Iterable[TargetRecord],
     service_us: int,
--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -9,7 +9,12 @@
 
 from foxtailreach.core import effects
 from foxtailreach.core.dispatch import messages
-from foxtailreach.core.dispatch.broker import Broker, Effects, Standing
+from foxtailreach.core.dispatch.broker import (
+    IMMUTABLE_TYPES,
+    Broker,
+    Effects,
+    Standing,
+)
 from foxtailreach.core.dispatch.broker_notes import BrokerNotes, broker_gauges
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
@@ -22,9 +27,10 @@
 from foxtailreach.core.dispatch.pool_status import (
     crashes_by_fingerprint,
     create_status,
+    has_untried_room,
 )
 from foxtailreach.core.dispatch.pools import Pool, SpareSlots
-from foxtailreach.core.dispatch.target_record import TargetStatus
+from foxtailreach.core.dispatch.snapshot import copy_state, independent_rng
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
 # Evidence becomes stale fast.
@@ -121,6 +127,29 @@
             new_effects.extend(self._refresh(entry.pool, entry.broker, now_us))
         return new_effects
 
+    def snapshot(self, name: str, now_us: int) -> ServiceBrokers:
+        """Return an independent copy with the broker of one pool."""
+        copied = ServiceBrokers(
+            self._policy,
+            independent_rng(self._rng),
+            prefers_own_domain=self._prefers_own_domain,
+        )
+        copied.update(
+            self._deployment,
+            self._targets,
+            self._evacuated,
+            now_us,
+            self._state_version,
+        )
+        known = self._entries.get(name)
+        if known is not None:
+            copied.restore(copy_state(known, IMMUTABLE_TYPES))
+        return copied
+
+    def restore(self, entry: BrokerEntry) -> None:
+        """Use the broker of an entry for its pool."""
+        self._entries[entry.pool.name] = entry
+
     def request_slot(
         self,
         sender: Requester,
@@ -131,7 +160,7 @@
 
         The request is refused if the service is not configured here.
         """
-        entry = self._entry_for(request.service_name, now_us)
+        entry = self.entry_for(request.service_name, now_us)
         if entry is None:
             cause = messages.RefusalCause.NOT_READY
             refusal = messages.SlotRefused(request.ask_id, cause, SECOND_US)
@@ -158,7 +187,7 @@
         now_us: int,
     ) -> Effects:
         """Pass a report to the broker of its service."""
-        entry = self._entry_for(report.service_name, now_us)
+        entry = self.entry_for(report.service_name, now_us)
         return (
             []
             if entry is None
@@ -185,11 +214,11 @@
         """Update brokers with what other hosts have seen."""
         match message:
             case messages.EvidenceDigest():
-                entry = self._entry_for(message.service_name, now_us)
+                entry = self.entry_for(message.service_name, now_us)
                 if entry is not None:
                     entry.broker.merge_evidence(message, now_us)
             case messages.TurnedAway():
-                entry = self._entry_for(message.service_name, now_us)
+                entry = self.entry_for(message.service_name, now_us)
                 if entry is not None:
                     entry.broker.record_turned_away(now_us)
             case PoolStatus():
@@ -273,7 +302,7 @@
         if broker.finds_target(host_id, entry.pool.domain, request, now_us):
             return None
         if request.scope is SlotScope.OVERFLOW:
-            if _has_untried_room(broker, now_us):
+            if has_untried_room(broker, now_us):
                 return None
             cause = messages.RefusalCause.NO_SPARE
             return messages.SlotRefused(ask_id, cause, 0)
@@ -337,7 +366,8 @@
             if (host_id := choose_broker(Pool(pool.service, domain)))
         ]
 
-    def _entry_for(self, name: str, now_us: int) -> BrokerEntry | None:
+    def entry_for(self, name: str, now_us: int) -> BrokerEntry | None:
+        """Return the entry of a pool, made if its service is configured."""
         deployment = self._deployment
         entry = self._entries.get(name)
         if entry is None and deployment is not None:
@@ -380,19 +410,6 @@
         )
 
 
-def _has_untried_room(broker: Broker, now_us: int) -> bool:
-    """Tell whether a pool has free slots, and evidence on no target."""
-    service_us = broker.service_time_us
-    records = broker.records.values()
-    is_untried = all(
-        record.status(now_us, service_us) is TargetStatus.UNPROVEN
-        for record in records
-    )
-    return is_untried and any(
-        record.has_free_slot(now_us) for record in records
-    )
-
-
 def _is_digest_due(entry: BrokerEntry, now_us: int) -> bool:
     is_active = now_us - entry.last_request_us < DIGEST_INTERVAL_US
     return is_active and now_us - entry.last_digest_us > DIGEST_INTERVAL_US
--- a/foxtailreach/rpc/fleet.thrift
+++ b/foxtailreach/rpc/fleet.thrift
@@ -123,6 +123,29 @@
   4: i64 confirmed_age_us
 }
 
+struct PlacementQuery { 1: i64 ask_id, 2: string domain, 3: SlotRequest request }
+
+struct Candidate {
+  1: string target_id, 2: string domain, 3: i32 status, 4: i32 flags,
+  5: i64 served_age_ms, 6: i64 failed_age_ms, 7: i32 slots, 8: i32 granted,
+  9: i64 remaining_ms, 10: i64 finish_ms, 11: i64 cost_ms,
+  12: i64 pause_left_ms
+}
+
+struct RestCounts {
+  1: i32 proven, 2: i32 unproven, 3: i32 ejected, 4: i32 unusable
+}
+
+struct PlacementReport {
+  1: i64 ask_id, 2: string service_name, 3: string decision,
+  4: string target_id, 5: string rule, 6: string domain, 7: bool is_final,
+  8: string cause, 9: i64 retry_after_us, 10: i64 wait_us, 11: i64 work_us,
+  12: i64 queued, 13: i64 queued_work_us, 14: i64 room,
+  15: list<Candidate> candidates, 16: RestCounts rest,
+  17: i64 config_version, 18: i64 config_age_us, 19: i64 targets_version,
+  20: i64 state_age_us
+}
+
 struct FleetEnvelope {
   1: optional Ping ping, 2: optional Ack ack,
   3: optional PingRequest ping_request, 4: optional HostRumor host_rumor,
@@ -141,5 +164,7 @@
   24: optional LivenessTable liveness_table,
   25: optional MeterRequest meter_request,
   26: optional SlotReferral slot_referral,
-  27: optional PoolStatus pool_status
+  27: optional PoolStatus pool_status,
+  28: optional PlacementQuery placement_query,
+  29: optional PlacementReport placement_report
 }
