Serve explanations of placements at the metrics address

Cause: operators need the decision on a request from any host, also from one that isn't the broker of its pool, and while the store is away.

Change: GET /foxtailreach/where takes host, path, customer, method, body_bytes, domain, service and time_left_ms, asks the brokers of the pool in the order and with the time-outs of a request for a slot, and follows a referral. The order of pools (pool_order.py), the refusals by configuration (route_checks.py) and the draft of the request for a slot are those of real requests. A malformed query gets 400 with the reason.

--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -24,7 +24,7 @@
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.daemon.clock import boot_time_us, wall_ms
-from foxtailreach.gateway import answer_memory, logs
+from foxtailreach.gateway import answer_memory, explain_page, logs
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -126,6 +126,17 @@
         self._state_server = StateServer(self._feed.mirror)
         self._readiness = HTTPServer(self._answer_readiness)
         self._metrics_server = HTTPServer(self._answer_metrics)
+        self._placement_answers = explain_page.PlacementAnswers(
+            self._node, self._ages
+        )
+        self._where = explain_page.WherePage(
+            self._node,
+            self._router.client,
+            self._proxy,
+            self._placement_answers,
+            self._ages,
+        )
+        self._where_tasks: set[asyncio.Task[None]] = set()
         self._stop = asyncio.Event()
         self._is_stopping = False
 
@@ -225,6 +236,9 @@
         match message:
             case messages.StateNotice():
                 self._feed.handle_notice(sender, message)
+            case messages.PlacementQuery():
+                report = self._placement_answers.answer(sender, message)
+                self._router.send(sender, report)
             case messages.HostAnnounced():
                 self._feed.notify_host(sender)
             case _:
@@ -244,7 +258,24 @@
             status = HTTPStatus.SERVICE_UNAVAILABLE
         _answer(request, status, b'')
 
+    def _ages(self) -> explain_page.InputAges:
+        now_us = boot_time_us()
+        return explain_page.InputAges(
+            self._feed.mirror.freshness.age_us(now_us),
+            self._feed.age_us(now_us),
+        )
+
+    async def _answer_where(self, request: HTTPServerRequest) -> None:
+        status, page = await self._where.answer(request.query_arguments)
+        _answer(request, status, page, 'application/json')
+
     def _answer_metrics(self, request: HTTPServerRequest) -> None:
+        """Answer with the metrics, or explain where a request would go."""
+        if request.path == explain_page.PATH:
+            task = asyncio.ensure_future(self._answer_where(request))
+            self._where_tasks.add(task)
+            task.add_done_callback(self._where_tasks.discard)
+            return
         now_us = boot_time_us()
         gauges = {
             'state_age_us': self._feed.age_us(now_us),
@@ -312,11 +343,12 @@
     request: HTTPServerRequest,
     status: HTTPStatus,
     body: bytes,
+    content_type: str = 'text/plain',
 ) -> None:
     connection = request.connection
     assert connection is not None
     headers = HTTPHeaders(
-        {'Content-Length': str(len(body)), 'Content-Type': 'text/plain'},
+        {'Content-Length': str(len(body)), 'Content-Type': content_type},
     )
     line = ResponseStartLine('HTTP/1.1', status.value, status.phrase)
     connection.write_headers(line, headers, body)
--- a/foxtailreach/gateway/fleet_client.py
+++ b/foxtailreach/gateway/fleet_client.py
@@ -15,6 +15,7 @@
 from foxtailreach.core.dispatch import messages
 from foxtailreach.core.dispatch.deployment import CustomerSpec
 from foxtailreach.core.dispatch.fleet import FleetNode
+from foxtailreach.core.dispatch.placement_messages import PlacementReport
 from foxtailreach.core.dispatch.pool_messages import (
     SlotReferral,
     SlotScope,
@@ -22,6 +23,7 @@
 from foxtailreach.core.dispatch.pools import Pool
 from foxtailreach.core.units import SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.pool_order import ask_pools
 
 # A round trip takes 3 ms; a host that has used up its CPU quota answers
 # within 0.1 s.
@@ -46,6 +48,7 @@
     | messages.SlotRefused
     | SlotReferral
     | messages.ChargeResult
+    | PlacementReport
 )
 REPLY_TYPES = (
     messages.SlotGrant,
@@ -53,6 +56,7 @@
     messages.SlotRefused,
     SlotReferral,
     messages.ChargeResult,
+    PlacementReport,
 )
 # Replies after which the broker keeps nothing of a request that got no slot.
 _DECISIONS = (
@@ -166,25 +170,24 @@
         service; its pool is chosen here. A pool without room may refer the
         request to another one once.
         """
-        pool = self._node.pool_of(draft.service_name)
-        scope = SlotScope.OWN if pool.domain else SlotScope.FINAL
-        decision = await self._ask_pool(pool, scope, draft, deadline_us)
-        if not isinstance(decision, SlotReferral):
-            return decision
-        other = Pool(pool.service, decision.domain)
-        if decision.is_final:
-            pool = other
-        else:
-            slot = await self._ask_pool(
-                other, SlotScope.OVERFLOW, draft, deadline_us
-            )
-            if isinstance(slot, GrantedSlot):
-                return slot
-        decision = await self._ask_pool(
-            pool, SlotScope.FINAL, draft, deadline_us
+        return await ask_pools(
+            self._node.pool_of(draft.service_name),
+            lambda pool, scope: self._ask_pool(pool, scope, draft, deadline_us),
+            lambda decision: isinstance(decision, GrantedSlot),
         )
-        assert not isinstance(decision, SlotReferral)
-        return decision
+
+    async def explain(
+        self, host_id: str, query: messages.PlacementQuery
+    ) -> PlacementReport | None:
+        """Ask a broker what a request would get; None if it does not answer.
+
+        The query gets its `ask_id` here.
+        """
+        ask_id = next(self._ask_ids)
+        request = replace(query.request, ask_id=ask_id)
+        query = replace(query, ask_id=ask_id, request=request)
+        reply = await self._ask_once(host_id, query)
+        return reply if isinstance(reply, PlacementReport) else None
 
     async def _ask_pool(
         self,
@@ -195,7 +198,7 @@
     ) -> GrantedSlot | messages.SlotRefused | SlotReferral:
         """Ask the brokers of a pool in turn until one decides."""
         ask_id = next(self._ask_ids)
-        for host_id in self._brokers_to_ask(pool):
+        for host_id in self.brokers_to_ask(pool):
             left_us = deadline_us - boot_time_us()
             spent_us = draft.time_left_us - left_us
             request = replace(
@@ -243,7 +246,7 @@
         """Tell the broker that a request was refused by its rate limit."""
         pool = self._node.pool_of(service)
         message = messages.TurnedAway(pool.name)
-        for host_id in self._brokers_to_ask(pool)[:1]:
+        for host_id in self.brokers_to_ask(pool)[:1]:
             self._send(host_id, message)
 
     async def _ask_slot(
@@ -310,8 +313,8 @@
         last_us = min(deadline_us, boot_time_us() + METER_WAIT_US)
         while True:
             for host_id in self._meters_to_ask(request.customer):
-                reply = await self._ask_meter(host_id, request)
-                if reply is None:
+                reply = await self._ask_once(host_id, request)
+                if not isinstance(reply, messages.ChargeResult):
                     self._node.suspect(host_id, boot_time_us())
                 elif reply.admission is not messages.Admission.NOT_OWNER:
                     return Charge(reply, host_id)
@@ -319,24 +322,27 @@
                 return Charge(_not_owner(request.ask_id))
             await asyncio.sleep(METER_RETRY_INTERVAL_S)
 
-    async def _ask_meter(
+    async def _ask_once(
         self,
         host_id: str,
-        request: messages.ChargeRequest,
-    ) -> messages.ChargeResult | None:
+        request: messages.ChargeRequest | messages.PlacementQuery,
+    ) -> Reply | None:
         key = (host_id, request.ask_id)
         queue: asyncio.Queue[Reply] = asyncio.Queue()
         self._pending[key] = queue
         try:
-            reply = await self._ask_with_resend(host_id, request, queue)
+            return await self._ask_with_resend(host_id, request, queue)
         finally:
             self._pending.pop(key, None)
-        return reply if isinstance(reply, messages.ChargeResult) else None
 
     async def _ask_with_resend(
         self,
         host_id: str,
-        request: messages.SlotRequest | messages.ChargeRequest,
+        request: (
+            messages.SlotRequest
+            | messages.ChargeRequest
+            | messages.PlacementQuery
+        ),
         queue: asyncio.Queue[Reply],
     ) -> Reply | None:
         self._send(host_id, request)
@@ -359,7 +365,8 @@
             SECOND_COPY_DELAY_S, self._send, host_id, message
         )
 
-    def _brokers_to_ask(self, pool: Pool) -> list[str]:
+    def brokers_to_ask(self, pool: Pool) -> list[str]:
+        """Rank the hosts that this host asks about a pool."""
         now_us = boot_time_us()
         if self._node.is_isolated(now_us):
             return [self._node.host_id]
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -20,6 +20,7 @@
 )
 from foxtailreach.core.dispatch.fleet import FleetNode
 from foxtailreach.core.dispatch.messages import RefusalCause, SendOutcome
+from foxtailreach.core.dispatch.route_checks import find_refusal
 from foxtailreach.core.dispatch.target_notices import Incarnation
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.core.verdict import Reason, Verdict
@@ -198,21 +199,18 @@
         trace.config_version = deployment.version
         path = request.path.partition(b'?')[0].decode('latin-1')
         route = deployment.find_route(request.host, path)
-        if route is None:
-            return _rejected_answer(HTTPStatus.NOT_FOUND, Reason.NO_ROUTE)
-        trace.route = route.name
         customer = deployment.find_customer(request.key)
-        if deployment.customers and customer is None and not route.is_open:
-            reason = Reason.UNKNOWN_KEY if request.key else Reason.NO_KEY
-            return _rejected_answer(HTTPStatus.UNAUTHORIZED, reason)
-        if not route.shares:
-            return _unavailable_answer(Reason.NO_SERVICE, NOT_READY_RETRY_US)
-        if customer is not None and not customer.has_known_limit:
+        reason = find_refusal(
+            deployment, route, customer, has_key=bool(request.key)
+        )
+        if route is not None:
+            trace.route = route.name
+        if reason is Reason.LIMIT_UNAVAILABLE and customer is not None:
             trace.customer = customer.name
             trace.detail = 'the limit cannot be read from the configuration'
-            return _unavailable_answer(
-                Reason.LIMIT_UNAVAILABLE, NOT_READY_RETRY_US
-            )
+        if reason is not None:
+            return refusal_by_configuration(reason)
+        assert route is not None
         return await self._serve_route(request, route, customer, trace)
 
     async def _wait_for_deployment(self) -> Deployment | None:
@@ -231,17 +229,7 @@
         trace: RequestTrace,
     ) -> CallerAnswer:
         trace.service = route.choose_service(self._rng)
-        time_left_us = request.time_left_us
-        if route.timeout_us:
-            time_left_us = min(time_left_us, route.timeout_us)
-        context = RequestContext(
-            request=request,
-            route=route,
-            customer=customer,
-            service=trace.service,
-            deadline_us=request.received_us + time_left_us - ANSWER_MARGIN_US,
-            trace=trace,
-        )
+        context = _create_context(request, route, customer, trace)
         if customer is not None:
             trace.customer = customer.name
             context.charge = await self._fleet_client.charge(
@@ -485,6 +473,19 @@
             ),
         )
 
+    def draft_slot_request(
+        self,
+        request: CallerRequest,
+        route: RouteSpec,
+        customer: CustomerSpec | None,
+        service: str,
+    ) -> messages.SlotRequest:
+        """Build the first request for a slot that a request would lead to."""
+        trace = RequestTrace(request.request_id)
+        trace.service = service
+        context = _create_context(request, route, customer, trace)
+        return self._slot_request(context, request.received_us)
+
     def _slot_request(
         self,
         context: RequestContext,
@@ -524,6 +525,36 @@
                 return False
 
 
+def _create_context(
+    request: CallerRequest,
+    route: RouteSpec,
+    customer: CustomerSpec | None,
+    trace: RequestTrace,
+) -> RequestContext:
+    time_left_us = request.time_left_us
+    if route.timeout_us:
+        time_left_us = min(time_left_us, route.timeout_us)
+    return RequestContext(
+        request=request,
+        route=route,
+        customer=customer,
+        service=trace.service,
+        deadline_us=request.received_us + time_left_us - ANSWER_MARGIN_US,
+        trace=trace,
+    )
+
+
+def refusal_by_configuration(reason: Reason) -> CallerAnswer:
+    """Build the answer to a request that the configuration refuses."""
+    match reason:
+        case Reason.NO_ROUTE:
+            return _rejected_answer(HTTPStatus.NOT_FOUND, reason)
+        case Reason.NO_KEY | Reason.UNKNOWN_KEY:
+            return _rejected_answer(HTTPStatus.UNAUTHORIZED, reason)
+        case _:
+            return _unavailable_answer(reason, NOT_READY_RETRY_US)
+
+
 def _is_admitted(charge: Charge) -> bool:
     return charge.admission not in _NOT_ADMITTED
 
