Add the command explain-where

Cause: the answer of the metrics address is JSON of some kilobytes.

A sub-command of explain would take the place of a request id, so that explain REQUEST_ID LOGS... would no longer work.

--- a/foxtailreach/__main__.py
+++ b/foxtailreach/__main__.py
@@ -143,6 +143,52 @@
         typer.echo(line)
 
 
+@app.command('explain-where')
+def explain_where(
+    address: Annotated[
+        str, typer.Argument(help='Metrics address of a host, as host:port.')
+    ],
+    url: Annotated[
+        str, typer.Argument(help='Host and path, such as shop.example/a/x.')
+    ],
+    customer: Annotated[str, typer.Option(help='Name, not the key.')] = '',
+    method: str = 'GET',
+    body_bytes: int = 0,
+    domain: Annotated[
+        str, typer.Option(help='Of the caller; that of the host by default.')
+    ] = '',
+    service: Annotated[
+        str, typer.Option(help='One of a traffic split; largest by default.')
+    ] = '',
+    time_left_ms: Annotated[
+        int, typer.Option(help="Until the caller's deadline; 0 if it has none.")
+    ] = 0,
+    as_json: Annotated[bool, typer.Option('--json')] = False,
+) -> None:
+    """Explain where a request would go now, without sending it."""
+    from foxtailreach.queries.where import describe_where, fetch_where
+
+    host, slash, path = url.partition('/')
+    page = fetch_where(
+        address,
+        {
+            'host': host,
+            'path': slash + path,
+            'customer': customer,
+            'method': method,
+            'body_bytes': body_bytes,
+            'domain': domain,
+            'service': service,
+            'time_left_ms': time_left_ms,
+        },
+    )
+    if as_json:
+        typer.echo(json.dumps(page, indent=2))
+        return
+    for line in describe_where(page):
+        typer.echo(line)
+
+
 @app.command()
 def demo(
     deployment: Deployment = Deployment.SCARA,
