Name targets without a usable slot 'unusable', and test referrals

Cause: the flag 'full' was also shown for draining and evacuated targets.

Change: the flag is 'unusable', whatever the cause; the text says that the expected finish counts from a grant. A test with two hosts as processes follows the referral of a domain without targets to the other pool, and the test that metrics stay the same compares those of the service that it uses.

--- a/foxtailreach/core/dispatch/explanation.py
+++ b/foxtailreach/core/dispatch/explanation.py
@@ -161,7 +161,7 @@
             CandidateFlag.LEAVING: record.is_leaving,
             CandidateFlag.EVACUATED: record.is_evacuated,
             CandidateFlag.WARMING_UP: record.is_warming_up(now_us),
-            CandidateFlag.FULL: not record.has_free_slot(now_us),
+            CandidateFlag.UNUSABLE: not record.has_free_slot(now_us),
             CandidateFlag.LATE: is_late,
         }
         flags = CandidateFlag.NONE
@@ -210,7 +210,7 @@
 def _preference(candidate: Candidate) -> tuple[bool, int, int]:
     """Order candidates as placement prefers them by status and cost."""
     is_unusable = bool(
-        candidate.flags & (CandidateFlag.FULL | CandidateFlag.EXCLUDED)
+        candidate.flags & (CandidateFlag.UNUSABLE | CandidateFlag.EXCLUDED)
     )
     return is_unusable, candidate.status, candidate.cost_ms
 
--- a/foxtailreach/core/dispatch/placement_messages.py
+++ b/foxtailreach/core/dispatch/placement_messages.py
@@ -27,7 +27,7 @@
 class CandidateFlag(enum.IntFlag):
     """Properties of a target that speak for or against it.
 
-    `FULL`: it gets no request now, whatever the cause. `LATE`: the request
+    `UNUSABLE`: it gets no request now, whatever the cause. `LATE`: the request
     would probably miss its objective there.
     """
 
@@ -39,7 +39,7 @@
     LEAVING = 16
     EVACUATED = 32
     WARMING_UP = 64
-    FULL = 128
+    UNUSABLE = 128
     LATE = 256
 
 
--- a/foxtailreach/queries/where.py
+++ b/foxtailreach/queries/where.py
@@ -124,7 +124,7 @@
         f'last failure {_age(candidate["failed_age_ms"])}, '
         f'{candidate["granted"]} of {candidate["slots"]} slots granted, '
         f'{candidate["remaining_ms"]} ms of work left, '
-        f'would finish after {candidate["finish_ms"]} ms{pause}; '
+        f'finish {candidate["finish_ms"]} ms after a grant{pause}; '
         f'flags: {flags}'
     )
 
--- a/foxtailreach/tests/dispatch/explanation_tests.py
+++ b/foxtailreach/tests/dispatch/explanation_tests.py
@@ -327,8 +327,8 @@
     flags = {one.target_id: one.flags for one in explained.candidates}
     assert flags == {
         't0': CandidateFlag.CHOSEN | CandidateFlag.CONNECTED,
-        't1': CandidateFlag.DRAINING | CandidateFlag.FULL,
-        't2': CandidateFlag.EVACUATED | CandidateFlag.FULL,
+        't1': CandidateFlag.DRAINING | CandidateFlag.UNUSABLE,
+        't2': CandidateFlag.EVACUATED | CandidateFlag.UNUSABLE,
         't3': CandidateFlag.WARMING_UP,
         't4': CandidateFlag.EXCLUDED,
     }
--- a/foxtailreach/tests/platform/explain_where_tests.py
+++ b/foxtailreach/tests/platform/explain_where_tests.py
@@ -19,6 +19,7 @@
     call,
     run_scenario,
 )
+from foxtailreach.tests.platform.fakes import Target
 
 REQUEST = {'host': 'shop.example', 'path': '/a/x', 'customer': 'c1'}
 MALFORMED: list[tuple[dict[str, Any], str]] = [
@@ -90,7 +91,7 @@
     return [
         line
         for line in page.body.splitlines()
-        if '_svc' in line or 'requests' in line or 'sends' in line
+        if '_stock' in line or 'requests' in line or 'sends' in line
     ]
 
 
@@ -185,6 +186,42 @@
     assert (code, text) == (1, 'error: path is missing\n')
 
 
+async def referral_is_followed(fleet: Fleet) -> None:
+    """The domain of the second host has no targets."""
+    for index in range(3, 8):
+        target = Target(f't{index}')
+        target.open()
+        fleet.targets.append(target)
+        await fleet.store.put('keyed.servers', f't{index}', target.entry())
+    async with asyncio.timeout(5):
+        pools: list[dict[str, Any]] = []
+        while len(pools) < 2:
+            await asyncio.sleep(0.25)
+            status, page = await explain(fleet, 'h2')
+            pools = page['pools']
+    assert status == 200
+    assert [pool['pool'] for pool in pools] == ['stock@south', 'stock@north']
+    assert pools[0]['decision'] == {'decision': 'referred', 'domain': 'north'}
+    assert pools[0]['candidates'] == []
+    assert pools[1]['broker'] == 'h1'
+    assert page['decision'] == pools[1]['decision']
+    assert page['decision']['decision'] == 'granted'
+    _, page = await explain(fleet, 'h2', {**REQUEST, 'domain': 'north'})
+    assert [pool['pool'] for pool in page['pools']] == ['stock@north']
+
+
+def test_explanation_follows_a_referral(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an explanation that ends at a pool without targets."""
+    settings = Fleet.settings
+    section = '[fault_tolerance]\nzones = 0\n'
+    monkeypatch.setattr(
+        Fleet, 'settings', lambda fleet, name: settings(fleet, name) + section
+    )
+    run_scenario(tmp_path, referral_is_followed)
+
+
 @pytest.mark.parametrize(
     'scenario',
     [
