--- a/foxtailreach/core/dispatch/service_brokers.py
+++ b/foxtailreach/core/dispatch/service_brokers.py
@@ -9,7 +9,12 @@
 
 from foxtailreach.core import effects
 from foxtailreach.core.dispatch import messages
-from foxtailreach.core.dispatch.broker import Broker, Effects, Standing
+from foxtailreach.core.dispatch.broker import (
+    IMMUTABLE_TYPES,
+    Broker,
+    Effects,
+    Standing,
+)
 from foxtailreach.core.dispatch.broker_notes import BrokerNotes, broker_gauges
 from foxtailreach.core.dispatch.budgets import RetryPolicy
 from foxtailreach.core.dispatch.deployment import Deployment, TargetSpec
@@ -22,9 +27,10 @@
 from foxtailreach.core.dispatch.pool_status import (
     crashes_by_fingerprint,
     create_status,
+    has_untried_room,
 )
 from foxtailreach.core.dispatch.pools import Pool, SpareSlots
-from foxtailreach.core.dispatch.target_record import TargetStatus
+from foxtailreach.core.dispatch.snapshot import copy_state, independent_rng
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 
 # Evidence becomes stale fast.
@@ -35,6 +41,12 @@
 # A pool without fresh evidence keeps a request at this interval, although other
 # pools have slots to spare: otherwise it would never get evidence again.
 KEEP_INTERVAL_US = SECOND_US
+# A copy of a broker with this many waiting requests takes about 40 ms of a
+# core, and the broker answers no host meanwhile. Hosts suspect it after 140 ms,
+# and have 0.43 of a core or more.
+MAX_COPIED_REQUESTS = 4096
+# A copied and described target takes about as long as this many of them.
+REQUESTS_PER_TARGET = 8
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,6 +133,34 @@
             new_effects.extend(self._refresh(entry.pool, entry.broker, now_us))
         return new_effects
 
+    def snapshot(self, name: str, now_us: int) -> ServiceBrokers | None:
+        """Return an independent copy with the broker of one pool.
+
+        None if that would take too long; see `MAX_COPIED_REQUESTS`.
+        """
+        known = self._entries.get(name)
+        if known is not None and _copy_size(known.broker) > MAX_COPIED_REQUESTS:
+            return None
+        copied = ServiceBrokers(
+            self._policy,
+            independent_rng(self._rng),
+            prefers_own_domain=self._prefers_own_domain,
+        )
+        copied.update(
+            self._deployment,
+            self._targets,
+            self._evacuated,
+            now_us,
+            self._state_version,
+        )
+        if known is not None:
+            copied.restore(copy_state(known, IMMUTABLE_TYPES))
+        return copied
+
+    def restore(self, entry: BrokerEntry) -> None:
+        """Use the broker of an entry for its pool."""
+        self._entries[entry.pool.name] = entry
+
     def request_slot(
         self,
         sender: Requester,
@@ -131,7 +171,7 @@
 
         The request is refused if the service is not configured here.
         """
-        entry = self._entry_for(request.service_name, now_us)
+        entry = self.entry_for(request.service_name, now_us)
         if entry is None:
             cause = messages.RefusalCause.NOT_READY
             refusal = messages.SlotRefused(request.ask_id, cause, SECOND_US)
@@ -158,7 +198,7 @@
         now_us: int,
     ) -> Effects:
         """Pass a report to the broker of its service."""
-        entry = self._entry_for(report.service_name, now_us)
+        entry = self.entry_for(report.service_name, now_us)
         return (
             []
             if entry is None
@@ -185,11 +225,11 @@
         """Update brokers with what other hosts have seen."""
         match message:
             case messages.EvidenceDigest():
-                entry = self._entry_for(message.service_name, now_us)
+                entry = self.entry_for(message.service_name, now_us)
                 if entry is not None:
                     entry.broker.merge_evidence(message, now_us)
             case messages.TurnedAway():
-                entry = self._entry_for(message.service_name, now_us)
+                entry = self.entry_for(message.service_name, now_us)
                 if entry is not None:
                     entry.broker.record_turned_away(now_us)
             case PoolStatus():
@@ -273,7 +313,7 @@
         if broker.finds_target(host_id, entry.pool.domain, request, now_us):
             return None
         if request.scope is SlotScope.OVERFLOW:
-            if _has_untried_room(broker, now_us):
+            if has_untried_room(broker, now_us):
                 return None
             cause = messages.RefusalCause.NO_SPARE
             return messages.SlotRefused(ask_id, cause, 0)
@@ -337,7 +377,8 @@
             if (host_id := choose_broker(Pool(pool.service, domain)))
         ]
 
-    def _entry_for(self, name: str, now_us: int) -> BrokerEntry | None:
+    def entry_for(self, name: str, now_us: int) -> BrokerEntry | None:
+        """Return the entry of a pool, made if its service is configured."""
         deployment = self._deployment
         entry = self._entries.get(name)
         if entry is None and deployment is not None:
@@ -380,17 +421,9 @@
         )
 
 
-def _has_untried_room(broker: Broker, now_us: int) -> bool:
-    """Tell whether a pool has free slots, and evidence on no target."""
-    service_us = broker.service_time_us
-    records = broker.records.values()
-    is_untried = all(
-        record.status(now_us, service_us) is TargetStatus.UNPROVEN
-        for record in records
-    )
-    return is_untried and any(
-        record.has_free_slot(now_us) for record in records
-    )
+def _copy_size(broker: Broker) -> int:
+    """Return the size of a broker's state in waiting requests."""
+    return broker.queue_length + REQUESTS_PER_TARGET * len(broker.records)
 
 
 def _is_digest_due(entry: BrokerEntry, now_us: int) -> bool:
