Send digests of evidence to other hosts only

Cause: the list of the next brokers of a pool held the broker itself, since the ranking became a module of its own, so that it merged its own digest each second. Change: the host itself is left out, as before. Measured: test_digests_go_to_other_hosts_only failed before.

--- a/foxtailreach/core/dispatch/broker_ranking.py
+++ b/foxtailreach/core/dispatch/broker_ranking.py
@@ -62,20 +62,26 @@
         )
 
     def successors(self, pool: Pool) -> list[str]:
-        """List the hosts that may broker a pool next.
+        """List the other hosts that may broker a pool next.
 
         These are the next in rank, and for a pool of all domains the first in
         rank of each other domain, which brokers it if its domain is cut off.
         """
         ranked = self._ranked(pool, self._reach.current)
+        own_id = self._membership.host_id
         if pool.domain:
-            return ranked[:MIN_RANKED_HOSTS]
+            return [
+                host_id
+                for host_id in ranked[:MIN_RANKED_HOSTS]
+                if host_id != own_id
+            ]
         recipients = dict.fromkeys(ranked)
         for coordinators in self._coordinators.by_domain().values():
             usable = filter(self._membership.is_usable, coordinators)
             first = top_candidate(usable, _subject(pool))
             if first is not None:
                 recipients[first] = None
+        recipients.pop(own_id, None)
         return list(recipients)
 
     def _first_of(self, pool: Pool, ranked: RankedHosts) -> str:
--- a/foxtailreach/tests/dispatch/fleet_tests.py
+++ b/foxtailreach/tests/dispatch/fleet_tests.py
@@ -352,3 +352,20 @@
     owner.receive('h1', table, START_US + 1)
     new_effects = owner.receive('h1', request, START_US + 2)
     assert messages.SendHost('h1', result) not in new_effects
+
+
+@pytest.mark.parametrize('prefers_own_domain', [False, True])
+def test_digests_go_to_other_hosts_only(*, prefers_own_domain: bool) -> None:
+    """Guards against a broker that merges what it has sent itself."""
+    entry = core_messages.HostEntry('h1', 'd1', '10.0.0.1', 7000)
+    config = FleetConfig(
+        entry,
+        1,
+        RETRY_POLICY,
+        LIMIT_POLICY,
+        prefers_own_domain=prefers_own_domain,
+    )
+    node = FleetNode(config, random.Random(1), START_US)
+    for pool in (Pool('svc'), Pool('svc', 'd1')):
+        assert node.broker_hosts(pool, START_US) == ['h1']
+        assert node._ranking.successors(pool) == []
