Check expected waits by class again

Cause: merging the costs of requests with the new queue replaced a check of the expected wait by a weaker one of the queued work.

--- a/foxtailreach/tests/dispatch/request_costs_tests.py
+++ b/foxtailreach/tests/dispatch/request_costs_tests.py
@@ -230,6 +230,14 @@
     ordered = queue.ordered(START_US)
     assert [waiter.slot_request.ask_id for waiter in ordered] == [2, 1]
     assert queue.work_us == COSTLY_US + CHEAP_US
+    # A late request waits for all of them, one in time not for the late one.
+    waits_us = {}
+    for left_us in (0, 1_000_000):
+        request = slot_request(3, objective_left_us=left_us)
+        waiter = queue.prepare('h1', 'd1', request, CHEAP_US, START_US)
+        waits_us[left_us] = queue.wait_us(waiter, 1, START_US)
+    assert waits_us[1_000_000] == 2 * CHEAP_US
+    assert waits_us[0] >= COSTLY_US + 2 * CHEAP_US
 
 
 def test_digest_carries_costs_and_slowness_to_the_next_broker() -> None:
