Review case 6: an answer that was given up for memory reaches its caller

When the memory for answers is used up, a host clears the body of the answer that it gives up. If the rest of that answer was read already, its task returns the rest as the whole body: callers get a success with the last bytes only.

Cause: eviction is checked when more bytes are read, not when an answer ends.

--- a/review/standins-2/standin.py
+++ b/review/standins-2/standin.py
@@ -72,11 +72,15 @@
     return await reader.readexactly(int(headers.get('content-length', '0')))
 
 
-def answer_bytes(status, headers, body):
+def head_bytes(status, headers):
     lines = [f'HTTP/1.1 {status} Status']
     lines += [f'{name}: {text}' for name, text in headers.items()]
-    lines.append(f'Content-Length: {len(body)}')
-    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
+
+
+def answer_bytes(status, headers, body):
+    length = {'Content-Length': str(len(body))}
+    return head_bytes(status, {**headers, **length}) + body
 
 
 class Record:
@@ -184,6 +188,8 @@
         self.ran = []
         self.tasks = []
         self.body = lambda path: path.encode()
+        # The body in chunks, if it is sent without a length.
+        self.chunks = None
         self.born = int(time.time() * 1000)
 
     async def open(self):
@@ -245,6 +251,9 @@
         finally:
             self.free.release()
         signed = {**echo, SIGNATURE: f'signed-{request_id}'}
+        if self.chunks is not None:
+            signed['Transfer-Encoding'] = 'chunked'
+            return head_bytes(200, signed) + self.chunks(path)
         return answer_bytes(200, signed, self.body(path))
 
 
