Hold one buffer a connection, and count all that is held for requests

Cause: each request that was read ahead had a parser of its own, which got all bytes that had arrived and kept what followed its request until its answer was sent: 64 KiB, 17 times a connection. Neither these bytes nor heads nor the state of a request were counted anywhere.

Change: the parser gets one head. What follows stays in the only buffer of the connection, which reads 16 KiB at a time. `HostMemory` counts connections, buffers, heads (a line costs more than its bytes), requests, bodies and answers against one limit, 0.75 of `memory_mb` less 30 MB. Where it is reached, the largest arriving body or the owner of the most answers gives way, before a smaller one is refused; small requests may use a quarter that large ones may not. A request sent ahead is read while half of the limit is free, and otherwise when the answers before it are sent; nothing is refused for it. Bodies in chunks are decoded here, as the parser keeps what follows them; the decoder is checked against the library. A request that was read behind a closing answer is not started, as its caller sends it again.

Encoding and writing of answers move to a module of their own, unchanged.

--- a/foxtailreach/gateway/answer_memory.py
+++ b/foxtailreach/gateway/answer_memory.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterator
 
 from loguru import logger
 
 from foxtailreach.core.units import SECOND_US
+from foxtailreach.gateway.host_memory import HostMemory, unlimited_memory
 from foxtailreach.gateway.logs import IntervalLimiter
 
 LOG_INTERVAL_US = 5 * SECOND_US
@@ -71,13 +72,20 @@
 
 
 class AnswerMemory:
-    """The answers that are being received or sent, and their limit."""
+    """The answers that are being received or sent, and their limit.
 
-    __slots__ = ('_answers', '_limit_bytes', 'evicted', 'held_bytes')
+    They are a part of the host's memory, which has a limit of its own.
+    """
+
+    __slots__ = ('_answers', '_host', '_limit_bytes', 'evicted', 'held_bytes')
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(
+        self, limit_bytes: int, host: HostMemory | None = None
+    ) -> None:
         """Start without answers."""
         self._limit_bytes = limit_bytes
+        self._host = unlimited_memory() if host is None else host
+        self._host.register(self)
         self._answers: set[HeldAnswer] = set()
         self.held_bytes = 0
         self.evicted = 0
@@ -93,17 +101,30 @@
         self._answers.add(answer)
         answer.size_bytes += size_bytes
         self.held_bytes += size_bytes
+        self._host.hold(size_bytes)
         while self.held_bytes > self._limit_bytes:
-            victim = self._choose_victim() or answer
-            self._log_eviction(victim)
-            self.evict(victim)
+            self._give_up(self._choose_victim() or answer)
+        if not self._host.relieve():
+            self._give_up(answer)
         return not answer.is_evicted
 
+    def largest_bytes(self) -> int:
+        """Return what the owner holds that holds the most."""
+        _, held_bytes = self._largest_owner()
+        return held_bytes
+
+    def give_up_largest(self) -> None:
+        """Evict the largest answer of this owner."""
+        victim = self._choose_victim()
+        if victim is not None:
+            self._give_up(victim)
+
     def shrink(self, answer: HeldAnswer, size_bytes: int) -> None:
         """Return a part of the memory."""
         returned_bytes = max(0, min(size_bytes, answer.size_bytes))
         answer.size_bytes -= returned_bytes
         self.held_bytes -= returned_bytes
+        self._host.release(returned_bytes)
         if not answer.size_bytes:
             self._answers.discard(answer)
 
@@ -117,20 +138,31 @@
 
     def _choose_victim(self) -> HeldAnswer | None:
         """Return the largest answer of the owner that holds the most."""
-        candidates = [
-            answer for answer in self._answers if answer.on_evict is not None
-        ]
-        if not candidates:
+        owner, held_bytes = self._largest_owner()
+        if not held_bytes:
             return None
-        held_bytes: Counter[Hashable] = Counter()
-        for answer in candidates:
-            held_bytes[answer.owner] += answer.size_bytes
-        owner, _ = held_bytes.most_common(1)[0]
         return max(
-            (answer for answer in candidates if answer.owner == owner),
+            (answer for answer in self._candidates() if answer.owner == owner),
             key=lambda answer: answer.size_bytes,
         )
 
+    def _largest_owner(self) -> tuple[Hashable, int]:
+        """Return who holds the most that can be evicted, and how much."""
+        held_bytes: Counter[Hashable] = Counter()
+        for answer in self._candidates():
+            held_bytes[answer.owner] += answer.size_bytes
+        if not held_bytes:
+            return None, 0
+        return held_bytes.most_common(1)[0]
+
+    def _candidates(self) -> Iterator[HeldAnswer]:
+        """Return the answers that can be evicted."""
+        return (one for one in self._answers if one.on_evict is not None)
+
+    def _give_up(self, victim: HeldAnswer) -> None:
+        self._log_eviction(victim)
+        self.evict(victim)
+
     def _log_eviction(self, victim: HeldAnswer) -> None:
         self.evicted += 1
         if _evicted_lines.allow():
--- a/foxtailreach/gateway/chunk_reader.py
+++ b/foxtailreach/gateway/chunk_reader.py
@@ -18,11 +18,15 @@
     for example, and the next caller gets its chunk.
     """
 
-    __slots__ = ('_reading', '_stream')
+    __slots__ = ('_reading', '_stream', 'read_bytes')
 
-    def __init__(self, stream: IOStream) -> None:
-        """Read from a stream that nobody else reads from."""
+    def __init__(self, stream: IOStream, read_bytes: int = READ_BYTES) -> None:
+        """Read from a stream that nobody else reads from.
+
+        `read_bytes` bounds a chunk; it can be changed before each read.
+        """
         self._stream = stream
+        self.read_bytes = read_bytes
         self._reading: asyncio.Task[bytes] | None = None
 
     @property
@@ -33,9 +37,10 @@
     def start(self) -> asyncio.Task[bytes]:
         """Start a read, unless one is pending, and return it."""
         if self._reading is None:
+            self._stream.read_chunk_size = self.read_bytes
             self._reading = asyncio.ensure_future(
                 _as_coroutine(
-                    self._stream.read_bytes(READ_BYTES, partial=True),
+                    self._stream.read_bytes(self.read_bytes, partial=True),
                 ),
             )
             self._reading.add_done_callback(_ignore_result)
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -24,12 +24,8 @@
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.daemon.clock import boot_time_us, wall_ms
-from foxtailreach.gateway import (
-    answer_memory,
-    body_memory,
-    explain_page,
-    logs,
-)
+from foxtailreach.gateway import explain_page, logs
+from foxtailreach.gateway.caller_memory import CallerMemory
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
@@ -39,7 +35,6 @@
 from foxtailreach.gateway.metrics import GatewayMetrics
 from foxtailreach.gateway.peers import PeerEndpoint, StateServer
 from foxtailreach.gateway.proxy import GetPriority, Proxy
-from foxtailreach.gateway.request_reader import ReaderOptions
 from foxtailreach.gateway.router import MessageRouter
 from foxtailreach.gateway.settings import Address, GatewaySettings
 from foxtailreach.gateway.state_feed import FeedDependencies, StateFeed
@@ -110,17 +105,10 @@
             self._record,
             rng,
         )
-        self._bodies = body_memory.BodyBudget(settings.max_body_memory_bytes)
-        self._answers = answer_memory.AnswerMemory(
-            settings.max_answer_memory_bytes
-        )
+        self._memory = CallerMemory.from_settings(settings)
         self._frontend = Frontend(
-            ReaderOptions(
-                options.header_names,
-                self._limits,
-                self._bodies,
-                self._answers,
-                self._proxy.check_head,
+            self._memory.reader_options(
+                options.header_names, self._limits, self._proxy.check_head
             ),
             self._proxy.handle,
             settings.max_descriptors,
@@ -298,12 +286,9 @@
             'malformed_messages': self._peers.malformed,
             'hosts_usable': len(self._node.membership.usable_hosts()),
             'hosts_known': len(self._node.membership.hosts),
-            'body_memory_bytes': self._bodies.held_bytes,
             'caller_connections': len(self._frontend.connections),
             'connections_closed_for_others': self._frontend.limit.closed,
             'connections_refused': self._frontend.limit.refused,
-            'answer_memory_bytes': self._answers.held_bytes,
-            'answers_evicted': self._answers.evicted,
             'connections_opened': self._upstream.opened,
             'connections_reused': self._upstream.reused,
             'datagrams_sent': self._peers.sent,
@@ -311,6 +296,7 @@
             'log_lines_dropped': self._log_writer.dropped,
             'log_lines_left_out': self._routine_lines.left_out,
         }
+        gauges.update(self._memory.gauges())
         gauges.update(self._node.broker_gauges())
         _answer(request, HTTPStatus.OK, self._metrics.render(gauges))
 
--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 
 import h11
 from loguru import logger
@@ -14,34 +14,27 @@
 from foxtailreach.core.caller_connections import ConnectionState
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
-from foxtailreach.gateway.answer_memory import HeldAnswer
+from foxtailreach.gateway.answer_writer import encode_answer, write_parts
+from foxtailreach.gateway.backlog import Backlog
 from foxtailreach.gateway.caller_limit import CallerLimit, refusal_bytes
 from foxtailreach.gateway.chunk_reader import close_stream
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
-    find_header,
-    forwarded_headers,
 )
 from foxtailreach.gateway.pending_answer import (
     PendingAnswer,
     rejected_answer,
     wants_close,
 )
-from foxtailreach.gateway.request_reader import (
-    ReaderOptions,
-    RequestError,
-    RequestReader,
-)
+from foxtailreach.gateway.request_error import RequestError
+from foxtailreach.gateway.request_reader import ReaderOptions, RequestReader
 from foxtailreach.gateway.settings import DEFAULT_MAX_DESCRIPTORS
 
 # Bound on the requests of one connection that wait for their answers.
 MAX_PIPELINED_REQUESTS = 16
 # Read buffer of a connection, which bounds the memory for a body.
 MAX_BUFFER_BYTES = 80 * 1024 * 1024
-# Smaller answers are written at once, in one packet if they fit.
-MAX_JOINED_BYTES = 16_384
-WRITE_BYTES = 65_536
 MIN_IDLE_WAIT_US = 10 * MILLISECOND_US
 
 Handle = Callable[[CallerRequest], Awaitable[CallerAnswer]]
@@ -67,7 +60,9 @@
     @property
     def is_idle(self) -> bool:
         """Whether no connection has an unanswered request."""
-        return not any(connection.unanswered for connection in self.connections)
+        return not any(
+            connection.backlog.count for connection in self.connections
+        )
 
     def handle_stream(
         self,
@@ -110,15 +105,15 @@
     __slots__ = (
         '_frontend',
         '_handle',
-        '_held_answers',
         '_idle_since_us',
         '_is_closing',
         '_options',
         '_reader',
+        '_resources',
         '_running',
         '_stream',
         'address',
-        'unanswered',
+        'backlog',
     )
 
     def __init__(
@@ -129,16 +124,16 @@
         frontend: Frontend,
     ) -> None:
         """Take over an accepted stream."""
-        self.unanswered = 0
+        self.backlog = Backlog()
         self.address = ''
         self._stream = stream
         self._options = options
         self._handle = handle
         self._frontend = frontend
-        self._reader = RequestReader(stream, options)
+        self._reader = RequestReader(stream, options, self.backlog)
         self._running: set[asyncio.Task[CallerAnswer]] = set()
-        # Memory of the answers that were not sent.
-        self._held_answers: set[HeldAnswer] = set()
+        # Of the requests whose answers were not sent.
+        self._resources: set[ExitStack] = set()
         self._is_closing = False
         # The last answer, or the start of the connection.
         self._idle_since_us = boot_time_us()
@@ -147,6 +142,7 @@
         """Serve until the connection closes, then cancel what is in flight."""
         answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None]
         answers = asyncio.Queue(MAX_PIPELINED_REQUESTS)
+        self._stream.set_close_callback(self._end_requests)
         writer = asyncio.ensure_future(self._write_answers(answers))
         try:
             await self._read_requests(answers)
@@ -160,12 +156,12 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in flight."""
-        if not self.unanswered and not self._reader.is_reading:
+        if not self.backlog.count and not self._reader.is_reading:
             self._stream.close()
 
     def unserved_state(self) -> ConnectionState | None:
         """Return its state, or None while a request is to be answered."""
-        if self.unanswered:
+        if self.backlog.count:
             return None
         return ConnectionState(
             id(self),
@@ -178,12 +174,19 @@
         """Close the connection to make room for another one."""
         self._stream.close()
 
-    def _cancel_running(self) -> None:
-        """Cancel the requests in flight and close the connection."""
+    def _end_requests(self) -> None:
+        """Cancel the requests in flight, and read no further one."""
+        self._is_closing = True
+        self.backlog.clear()
         for task in self._running:
             task.cancel()
-        for held_answer in self._held_answers:
-            held_answer.close()
+
+    def _cancel_running(self) -> None:
+        """Cancel the requests in flight and close the connection."""
+        self._end_requests()
+        for resources in self._resources:
+            resources.close()
+        self._reader.close()
         close_stream(self._stream)
 
     async def _read_requests(
@@ -193,20 +196,18 @@
         while not self._is_closing:
             if not await self._wait_for_request():
                 return
-            parser = h11.Connection(
-                h11.SERVER,
-                max_incomplete_event_size=(
-                    self._options.limits().max_header_bytes
-                ),
-            )
+            parser = h11.Connection(h11.SERVER)
             try:
                 request = await self._reader.read(parser)
             except RequestError as rejection:
                 self._is_closing = True
                 await answers.put((parser, rejected_answer(rejection.answer)))
-                self.unanswered += 1
+                self.backlog.add()
                 return
-            if request is None:
+            if self._is_closing:
+                # The caller sends it again, whether it may run twice or not.
+                request.resources.close()
+                request.release_body()
                 return
             # No variable here may keep the request or its answer, as they
             # would stay in memory until the next request arrives.
@@ -221,8 +222,8 @@
 
     def _start(self, request: CallerRequest) -> PendingAnswer:
         """Serve a request in a task of its own."""
-        self.unanswered += 1
-        self._held_answers.add(request.held_answer)
+        self.backlog.add()
+        self._resources.add(request.resources)
         task = asyncio.ensure_future(self._run(request))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
@@ -236,9 +237,9 @@
         wait_us = self._idle_left_us()
         while not await self._reader.wait_for_bytes(wait_us):
             wait_us = max(MIN_IDLE_WAIT_US, self._idle_left_us())
-            if not self.unanswered and self._idle_left_us() <= 0:
+            if not self.backlog.count and self._idle_left_us() <= 0:
                 return False
-        if self._frontend.is_stopping and self.unanswered:
+        if self._frontend.is_stopping and self.backlog.count:
             # The last answer closes the connection; a caller resends what was
             # not read.
             await self._watch_until_answered()
@@ -251,7 +252,7 @@
         A caller that waits for an answer is not idle.
         """
         idle_timeout_us = self._options.limits().idle_timeout_us
-        if self.unanswered:
+        if self.backlog.count:
             return idle_timeout_us
         return self._idle_since_us + idle_timeout_us - boot_time_us()
 
@@ -277,8 +278,7 @@
     async def _wait_until_answered(self) -> None:
         while self._running:
             await asyncio.wait(self._running)
-        while self.unanswered:
-            await asyncio.sleep(MILLISECOND_US / SECOND_US)
+        await self.backlog.wait_until_empty()
 
     async def _run(self, request: CallerRequest) -> CallerAnswer:
         answer = await self._handle(request)
@@ -304,7 +304,7 @@
         answers: asyncio.Queue[tuple[h11.Connection, PendingAnswer] | None],
     ) -> None:
         """Stop reading requests; one may wait for a place in the queue."""
-        self._is_closing = True
+        self._end_requests()
         self._stream.close()
         while not answers.empty():
             answers.get_nowait()
@@ -317,20 +317,28 @@
             return False
         parser, pending = entry
         answer = await pending.answer()
-        is_last = self._frontend.is_stopping and self.unanswered == 1
+        is_last = self._frontend.is_stopping and self.backlog.count == 1
         must_close = answer.must_close or is_last
         if must_close:
             self._is_closing = True
         try:
-            parts = self._encode(parser, pending, answer, must_close)
+            parts = encode_answer(
+                parser,
+                pending,
+                answer,
+                self._options.header_names.request_id,
+                must_close=must_close,
+            )
         except h11.LocalProtocolError as error:
             logger.error('answer cannot be sent: {}', error)
             self._stream.close()
             return False
-        with suppress(StreamClosedError):
+        try:
             await self._write_parts(parts)
+        except StreamClosedError:
+            return False
         self._release_answer(pending)
-        self.unanswered -= 1
+        self.backlog.remove()
         self._idle_since_us = boot_time_us()
         if must_close or parser.our_state is h11.MUST_CLOSE:
             self._stream.close()
@@ -338,62 +346,16 @@
         return True
 
     async def _write_parts(self, parts: list[bytes | bytearray]) -> None:
-        """Write an answer; a large body is not copied.
-
-        Close the connection if the caller reads nothing for its idle time.
-        """
-        if sum(map(len, parts)) <= MAX_JOINED_BYTES:
-            parts = [b''.join(parts)]
+        """Write an answer; close the connection if the caller does not read."""
         idle_s = self._options.limits().idle_timeout_us / SECOND_US
         try:
-            for part in parts:
-                await self._write_in_time(part, idle_s)
+            await write_parts(self._stream, parts, idle_s)
         except TimeoutError:
             logger.info('a caller does not read its answer')
             self._stream.close()
 
-    async def _write_in_time(
-        self, part: bytes | bytearray, idle_s: float
-    ) -> None:
-        """Write a part; raise TimeoutError if a piece is not taken in time."""
-        view = memoryview(part)
-        for start in range(0, len(part), WRITE_BYTES):
-            async with asyncio.timeout(idle_s):
-                await self._stream.write(view[start : start + WRITE_BYTES])
-
     def _release_answer(self, pending: PendingAnswer) -> None:
         """Return the memory of an answer that was sent."""
         if pending.request is not None:
-            self._held_answers.discard(pending.request.held_answer)
-            pending.request.held_answer.close()
-
-    def _encode(
-        self,
-        parser: h11.Connection,
-        pending: PendingAnswer,
-        answer: CallerAnswer,
-        must_close: bool,
-    ) -> list[bytes | bytearray]:
-        """Return the head, and the body if there is one."""
-        headers = forwarded_headers(answer.headers, frozenset())
-        if pending.request is not None and pending.request.request_id:
-            name = self._options.header_names.request_id
-            if not find_header(headers, name):
-                text = pending.request.request_id.encode('latin-1')
-                headers.append((name, text))
-        length = str(len(answer.body)).encode()
-        headers.append((b'content-length', length))
-        if must_close:
-            headers.append((b'connection', b'close'))
-        response = h11.Response(
-            status_code=answer.status,
-            headers=headers,
-            reason=answer.phrase,
-        )
-        parts: list[bytes | bytearray] = [parser.send(response) or b'']
-        if answer.body and not pending.is_head:
-            body = h11.Data(data=answer.body)  # type: ignore[arg-type]
-            # `send` would copy the body.
-            parts.extend(parser.send_with_data_passthrough(body) or ())
-        parts.append(parser.send(h11.EndOfMessage()) or b'')
-        return [part for part in parts if part]
+            self._resources.discard(pending.request.resources)
+            pending.request.resources.close()
--- a/foxtailreach/gateway/http_types.py
+++ b/foxtailreach/gateway/http_types.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -72,6 +73,8 @@
     held_answer: HeldAnswer = field(default_factory=unlimited_answer)
     held_body: HeldBody = field(default_factory=unlimited_body)
     rejection: Rejection | None = None
+    # Return the memory for its head and its answer.
+    resources: ExitStack = field(default_factory=ExitStack)
 
     def release_body(self) -> None:
         """Give up the body and its memory."""
--- a/foxtailreach/gateway/settings.py
+++ b/foxtailreach/gateway/settings.py
@@ -13,6 +13,8 @@
 MAX_PORT = 65_535
 # The least that the hosts of a known deployment have.
 DEFAULT_MAX_DESCRIPTORS = 4096
+# That of a host with the default memory.
+DEFAULT_CALLER_MEMORY_BYTES = 120 * 1024 * 1024
 # Multicast and reserved addresses begin here; no host listens on those.
 FIRST_RESERVED_OCTET = 224
 
@@ -44,7 +46,8 @@
     Targets write a heartbeat every `target_heartbeat_us`.
     `capacity` is the processor time of the host in hundredths of a core;
     `max_body_memory_bytes` bounds the memory for the bodies of all requests,
-    `max_answer_memory_bytes` that for the answers to all of them.
+    `max_answer_memory_bytes` that for the answers to all of them,
+    `max_caller_memory_bytes` all that is held for callers, with these.
     `max_descriptors` bounds the open files and sockets of the process.
     The fleet must bear the loss of `tolerated_domain_losses` failure domains.
     """
@@ -65,6 +68,7 @@
     max_answer_memory_bytes: int
     retry_policy: RetryPolicy
     limit_policy: LimitPolicy
+    max_caller_memory_bytes: int = DEFAULT_CALLER_MEMORY_BYTES
     tolerated_domain_losses: int = 1
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     target_heartbeat_us: int = 1500 * MILLISECOND_US
--- a/foxtailreach/platform/settings.py
+++ b/foxtailreach/platform/settings.py
@@ -27,9 +27,12 @@
 DEFAULT_MEMORY_MB = 200
 DEFAULT_HEARTBEAT_MS = 1500
 DEFAULT_DOMAIN_LOSSES = 1
-# The process itself takes 40 MB of 200; answers in flight share the rest.
 BODY_MEMORY_SHARE = 0.4
 ANSWER_MEMORY_SHARE = 0.25
+# All that is held for callers; the rest is for the process itself.
+CALLER_MEMORY_SHARE = 0.75
+PROCESS_MEMORY_BYTES = 30 * 1024 * 1024
+MIN_CALLER_MEMORY_SHARE = 0.25
 CAPACITY_PER_CORE = 100
 BYTES_PER_MB = 1024 * 1024
 MAX_PORT_DIGITS = 5
@@ -98,6 +101,7 @@
         stop_grace_us=int(bounds.get('grace_s', 6) * SECOND_US),
         max_body_memory_bytes=int(memory_bytes * BODY_MEMORY_SHARE),
         max_answer_memory_bytes=int(memory_bytes * ANSWER_MEMORY_SHARE),
+        max_caller_memory_bytes=_caller_memory_bytes(memory_bytes),
         retry_policy=RetryPolicy(
             ratio=bounds.get('retry_budget_ratio', 0.2) * BROKER_RATIO_SHARE,
             window_us=int(bounds.get('retry_window_s', 10) * SECOND_US),
@@ -130,6 +134,12 @@
     return Address(host, int(port))
 
 
+def _caller_memory_bytes(memory_bytes: int) -> int:
+    """Return the memory for all that is held for callers."""
+    share_bytes = memory_bytes * CALLER_MEMORY_SHARE - PROCESS_MEMORY_BYTES
+    return int(max(share_bytes, memory_bytes * MIN_CALLER_MEMORY_SHARE))
+
+
 def _capacity(limits: Mapping[str, Any]) -> int:
     """Return the processor time of a host in hundredths of a core.
 
--- /dev/null
+++ b/foxtailreach/tests/platform/crowds_tests.py
@@ -0,0 +1,255 @@
+"""A host with callers that make it hold much, or work much for each byte.
+
+The callers of `untrusted_callers_tests` hold a connection, a body or an answer.
+Those here send requests ahead, use many small parts, or mix with others. The
+checks are the same: the process lives, its memory and descriptors stay within
+its settings, and an ordinary request is answered, here while the callers stay.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import itertools
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from foxtailreach.tests.platform.end_to_end_tests import (
+    Fleet,
+    configuration,
+    start_fleet,
+)
+from foxtailreach.tests.platform.endless_answers_tests import (
+    peak_memory_mb,
+    put_target,
+)
+from foxtailreach.tests.platform.untrusted_callers_tests import (
+    LARGE_BODY_BYTES,
+    MAX_FDS,
+    MEMORY_MB,
+    OBSERVED_S,
+    Caller,
+    Crowd,
+    connected,
+    most_descriptors,
+    ordinary_request,
+    repeat,
+    request_head,
+    stop,
+    target_process,
+)
+
+CROWD_KEY = 'crowd'
+CROWD_SERVICE = 'crowded'
+TARGETS_PER_SERVICE = 2
+# More than a host has descriptors, so that most requests of a crowd run.
+SLOTS = 400
+# Within `max_header_bytes`, 16,384.
+COOKIE = b'Cookie: session=' + b'c' * 12_000 + b'\r\n'
+# Each counts five bytes.
+TINY_HEADERS = b'a:\r\n' * 3000
+SLASHES = '/' * 15_000
+TINY_CHUNKS = b'1\r\nb\r\n' * 10_000
+BODY_AHEAD_BYTES = 30_000
+REQUESTS_AHEAD = 18
+# All connections that a host with so many descriptors admits are 75.
+CALLERS = 70
+BUSY_CALLERS = 40
+
+
+def head(
+    path: str, extra: bytes = b'', key: str = CROWD_KEY, method: str = 'GET'
+) -> bytes:
+    """Return the head of a request without a body, or with an open end."""
+    start = request_head(method, path, key, 0)
+    start = start.replace(b'Content-Length: 0\r\n\r\n', extra + b'\r\n')
+    return start.replace(b'Request-Id: u', b'Request-Id: c')
+
+
+async def send_ahead(
+    requests: Iterable[bytes], fleet: Fleet, _: int, *, reads: bool = True
+) -> None:
+    """Send requests without waiting; read the answers or leave them."""
+    async with connected(fleet) as (reader, writer):
+        reading = asyncio.ensure_future(
+            read_all(reader) if reads else asyncio.sleep(OBSERVED_S)
+        )
+        try:
+            for one in requests:
+                if reading.done():
+                    return
+                writer.write(one)
+                await writer.drain()
+        finally:
+            reading.cancel()
+
+
+async def read_all(reader: asyncio.StreamReader) -> None:
+    """Read until the end."""
+    with contextlib.suppress(OSError):
+        while await reader.read(65_536):
+            continue
+
+
+def ahead(path: str, *, extra: bytes = b'', **fields: Any) -> Caller:
+    """Return a caller that sends the same request without end."""
+    reads = fields.pop('reads', True)
+    one = head(path, extra, **fields)
+    return functools.partial(send_ahead, itertools.repeat(one), reads=reads)
+
+
+def chunked(path: str, key: str = CROWD_KEY) -> Caller:
+    """Return a caller that sends a body in chunks of one byte."""
+    start = head(path, b'Transfer-Encoding: chunked\r\n', key, 'POST')
+
+    async def send(fleet: Fleet, index: int) -> None:
+        parts = itertools.chain((start,), itertools.repeat(TINY_CHUNKS))
+        await send_ahead(parts, fleet, index)
+
+    return send
+
+
+async def read_slowly(path: str, fleet: Fleet, _: int) -> None:
+    """Read answers at 50 kB/s, one after the other."""
+    async with connected(fleet) as (reader, writer):
+        while True:
+            writer.write(head(path))
+            for _piece in range(100):
+                if not await reader.read(4096):
+                    return
+                await asyncio.sleep(0.08)
+
+
+async def send_body_ahead(fleet: Fleet, index: int) -> None:
+    """Send requests with bodies ahead and read nothing."""
+    body = b'b' * BODY_AHEAD_BYTES
+    length = f'Content-Length: {len(body)}\r\n'.encode()
+    one = head('/safe/slow', length, method='POST') + body
+    await send_ahead(itertools.repeat(one), fleet, index, reads=False)
+
+
+async def leave_ahead(fleet: Fleet, _: int) -> None:
+    """Send some requests ahead, and leave after the first answer."""
+    async with connected(fleet) as (reader, writer):
+        writer.write(head('/safe/medium', COOKIE) * REQUESTS_AHEAD)
+        await reader.read(1)
+
+
+async def send_slow_body(fleet: Fleet, _: int) -> None:
+    """Send most of a large body at once, and the rest byte by byte."""
+    async with connected(fleet) as (_reader, writer):
+        writer.write(
+            request_head('POST', '/safe/x', CROWD_KEY, LARGE_BODY_BYTES)
+        )
+        writer.write(b'b' * (LARGE_BODY_BYTES * 3 // 4))
+        while not writer.is_closing():
+            writer.write(b'b')
+            await asyncio.sleep(0.05)
+
+
+def in_turn(*callers: Caller) -> Caller:
+    """Return a caller that behaves as one of several, by its index."""
+
+    async def call(fleet: Fleet, index: int) -> None:
+        await callers[index % len(callers)](fleet, index)
+
+    return call
+
+
+def slow_reader(path: str) -> Caller:
+    """Return a caller that reads answers of a kind slowly."""
+    return functools.partial(read_slowly, path)
+
+
+HOLDING: dict[str, Caller] = {
+    'ahead-large': ahead('/safe/large', extra=COOKIE, reads=False),
+}
+WORKING: dict[str, Caller] = {}
+MIXED: dict[str, Caller] = {}
+CROWDS = {
+    **{kind: Crowd(caller, CALLERS) for kind, caller in HOLDING.items()},
+    **{kind: Crowd(caller, BUSY_CALLERS) for kind, caller in WORKING.items()},
+    **{kind: Crowd(caller, CALLERS) for kind, caller in MIXED.items()},
+}
+
+
+def with_crowded_service() -> dict[str, Any]:
+    """Return a configuration that keeps the crowd apart from others.
+
+    It has a customer without a limit and a service of its own.
+    """
+    document = configuration(2)
+    resources = document['resources']
+    resources[1]['spec']['service'] = CROWD_SERVICE
+    resources.append(
+        {
+            'resource_type': 'services',
+            'metadata': {'name': CROWD_SERVICE},
+            'spec': {},
+        }
+    )
+    resources.append(
+        {
+            'resource_type': 'tenants',
+            'metadata': {'name': 'crowd'},
+            'spec': {'api_keys': [CROWD_KEY], 'priority': 0},
+        }
+    )
+    return document
+
+
+async def start_targets(fleet: Fleet, stack: contextlib.AsyncExitStack) -> None:
+    """Replace the targets of a fleet by those of two services."""
+    for target in fleet.targets:
+        await fleet.store.put('keyed.servers', target.target_id, None)
+    for service in ('stock', CROWD_SERVICE):
+        for index in range(TARGETS_PER_SERVICE):
+            port = await stack.enter_async_context(target_process())
+            await put_target(fleet, f'{service}{index}', service, port, SLOTS)
+    await fleet.store.put('keyed.op', 'config', with_crowded_service())
+    await asyncio.sleep(2)
+
+
+@pytest.mark.parametrize('kind', CROWDS)
+def test_crowd_leaves_a_host_within_its_limits(
+    kind: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a host that ends or hangs through a crowd of callers."""
+    settings = Fleet.settings
+    crowd = CROWDS[kind]
+
+    def with_limits(fleet: Fleet, name: str) -> str:
+        text = settings(fleet, name)
+        limits = f'memory_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}\n'
+        return f'{text}\n[limits]\n{limits}'
+
+    monkeypatch.setattr(Fleet, 'settings', with_limits)
+
+    async def scenario(stack: contextlib.AsyncExitStack) -> None:
+        fleet = await stack.enter_async_context(start_fleet(tmp_path, 1))
+        await start_targets(fleet, stack)
+        assert (await ordinary_request(fleet)).status == 200
+        process = fleet.processes['h1']
+        callers = [
+            asyncio.ensure_future(repeat(crowd, fleet, index))
+            for index in range(crowd.size)
+        ]
+        descriptors = await most_descriptors(process.pid, OBSERVED_S)
+        answer = await ordinary_request(fleet)
+        await stop(callers)
+        memory_mb = peak_memory_mb(process.pid)
+        print(f'{kind}: {memory_mb:.0f} MB, {descriptors} fds, {answer}')
+        assert process.returncode is None
+        assert memory_mb < MEMORY_MB
+        assert descriptors < MAX_FDS
+        assert answer.status == 200
+
+    async def main() -> None:
+        async with asyncio.timeout(60), contextlib.AsyncExitStack() as stack:
+            await scenario(stack)
+
+    asyncio.run(main())
--- a/foxtailreach/tests/platform/endless_answers_tests.py
+++ b/foxtailreach/tests/platform/endless_answers_tests.py
@@ -69,14 +69,16 @@
     return int(line.split()[1]) / 1024
 
 
-async def put_target(fleet: Fleet, name: str, service: str, port: int) -> None:
+async def put_target(
+    fleet: Fleet, name: str, service: str, port: int, slots: int = 20
+) -> None:
     """List a target with many slots, in place of one of the fleet."""
     entry = {
         'service': service,
         'address': f'127.0.0.1:{port}',
         'zone': 'north',
         'version': 'v1',
-        'slots': 20,
+        'slots': slots,
         'state': 'ready',
         'warmup_left_ms': 0,
         'sequence': 1,
