Hand over an answer's body only when it is whole

`answer_body_tests.py` on: 2 of 6 kinds failed, answers in chunks, and those behind an answer to another request: a served answer had a part of the body.

Cause: an answer that is given up for memory had its body cleared and its stream closed, while a task was between two parts that had been read already. It appended the rest to the cleared body and returned that as complete.

Change: `AnswerBody` is receiving, whole or given up, and leaves the first state once. Only a whole one returns its bytes; adding to one that was given up or completing it raises the error that counts the answer as lost.

After: all 6 kinds pass, with an eviction at each of 30 turns of the event loop and at 4 later moments.

--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -24,6 +24,7 @@
 from foxtailreach.core.dispatch.target_notices import NO_NOTICE, TargetNotice
 from foxtailreach.core.units import MILLISECOND_US, SECOND_US
 from foxtailreach.daemon.clock import boot_time_us
+from foxtailreach.gateway.answer_body import AnswerBody, AnswerGivenUpError
 from foxtailreach.gateway.answer_memory import HeldAnswer
 from foxtailreach.gateway.chunk_reader import ChunkReader, close_stream
 from foxtailreach.gateway.http_types import (
@@ -68,7 +69,6 @@
 _MISDIRECTED = 421
 _SERVER_ERROR = 500
 # More digits would be years.
-_OUT_OF_MEMORY = 'answer was given up, as the memory is used up'
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
 # Tells why a granted target must get no request now; '' if it may.
@@ -119,7 +119,7 @@
         self._reads = 0
         self._held_answer: HeldAnswer | None = None
         # Of the answer that is being received.
-        self._body = bytearray()
+        self._body = AnswerBody()
 
     @property
     def is_usable(self) -> bool:
@@ -151,7 +151,7 @@
 
         The tasks that wait for it notice only after others have received more.
         """
-        self._body.clear()
+        self._body.give_up()
         self.stream.close()
 
     async def exchange(
@@ -206,16 +206,15 @@
         parser: h11.Connection,
     ) -> tuple[h11.Response, bytearray]:
         response = await self._read_head(parser)
-        body = bytearray()
+        body = AnswerBody()
         self._body = body
         while True:
             event = await self._read_event(parser)
             match event:
                 case h11.Data(data=chunk):
-                    body += chunk
+                    body.add(chunk)
                 case h11.EndOfMessage():
-                    self._body = bytearray()
-                    return response, body
+                    return response, body.complete()
                 case _:
                     raise ConnectionLostError(
                         f'unexpected HTTP event {event!r}'
@@ -271,13 +270,13 @@
             raise ConnectionLostError('answer exceeds the size limit')
         held_answer = self._held_answer
         if held_answer is not None and not held_answer.grow(len(chunk)):
-            raise ConnectionLostError(_OUT_OF_MEMORY)
+            raise AnswerGivenUpError
         return chunk
 
     def _check_end(self, error: StreamClosedError) -> None:
         """Raise ConnectionLostError unless the target has ended the stream."""
         if self._held_answer is not None and self._held_answer.is_evicted:
-            raise ConnectionLostError(_OUT_OF_MEMORY) from error
+            raise AnswerGivenUpError from error
         if error.real_error is not None or self.stream.error is not None:
             raise ConnectionLostError(
                 f'connection reset: {error.real_error}'
--- a/foxtailreach/tests/platform/crowds_tests.py
+++ b/foxtailreach/tests/platform/crowds_tests.py
@@ -167,6 +167,8 @@
 
 HOLDING: dict[str, Caller] = {
     'ahead-large': ahead('/safe/large', extra=COOKIE, reads=False),
+    'slow-chunks': slow_reader('/safe/large-chunks'),
+    'slow-unframed': slow_reader('/safe/large-unframed'),
 }
 WORKING: dict[str, Caller] = {
     'tiny-chunks': chunked('/safe/x'),
