Let heads with many headers take turns

What callers saw: 40 connections that send requests with 3,000 headers of two bytes, within the limit on headers, leave a host without a turn for others. On an ordinary request got 503 after its 4 s, with a valid key (the host also reached 144 MB of 100) and with an unknown one (93 MB).

Cause: such a head takes 10 ms to parse and its headers 1 MB, for 9 kB; each of up to 17 requests of a connection was handled in the same turn.

Change: a head of more than 128 lines waits for its turn, as small chunks do, and rests in proportion to its lines. If it gets none within the header timeout, it is refused with 503 (not run).

--- a/foxtailreach/gateway/request_reader.py
+++ b/foxtailreach/gateway/request_reader.py
@@ -40,7 +40,7 @@
     overloaded,
     timed_out,
 )
-from foxtailreach.gateway.work_turns import WorkTurns
+from foxtailreach.gateway.work_turns import FREE_HEAD_LINES, WorkTurns
 
 # Time limit for requests without a deadline header.
 DEFAULT_TIME_LEFT_US = 30 * SECOND_US
@@ -128,6 +128,7 @@
         received_us = boot_time_us()
         with ExitStack() as stack:
             head_bytes = await self._read_head()
+            await self._wait_for_turn(head_bytes)
             await self._hold_request(head_bytes, stack)
             head = _parse_head(parser, self._buffer.consume(head_bytes))
             _check_head(head, self._limits)
@@ -158,6 +159,22 @@
                 return head_bytes
             await self._buffer.read()
 
+    async def _wait_for_turn(self, head_bytes: int) -> None:
+        """Let others go on before a head with many lines is handled.
+
+        Raises RequestError if too many such heads have arrived.
+        """
+        lines = self._buffer.received.count(b'\n', 0, head_bytes)
+        if lines <= FREE_HEAD_LINES:
+            return
+        try:
+            async with asyncio.timeout(
+                self._limits.header_timeout_us / SECOND_US
+            ):
+                await self._options.turns.wait(lines)
+        except TimeoutError as error:
+            raise overloaded() from error
+
     def _check_start(self, head_bytes: int, limits: CallerLimits) -> None:
         """Raise RequestError on a head that cannot be accepted.
 
--- a/foxtailreach/gateway/work_turns.py
+++ b/foxtailreach/gateway/work_turns.py
@@ -1,7 +1,7 @@
 """Shares the event loop between callers whose bytes take long to handle.
 
-Load pattern: callers send many small parts, such as chunks of one byte, so that
-a few bytes take the time of a whole request.
+Load pattern: callers send many small parts, such as chunks of one byte or
+headers of three, so that a few bytes take the time of a whole request.
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 
 # Chunks that are decoded at once.
 PARTS_PER_STEP = 256
+# A head with more lines waits for its turn.
+FREE_HEAD_LINES = 128
 # Several times what a part takes, so that most of the time is for others.
 REST_PER_PART_US = 8
 
--- a/foxtailreach/tests/gateway/work_turns_tests.py
+++ b/foxtailreach/tests/gateway/work_turns_tests.py
@@ -21,6 +21,7 @@
 from foxtailreach.tests.gateway.upstream_tests import HEADER_NAMES
 
 CHUNKED = HEAD + b'connection: close\r\ntransfer-encoding: chunked\r\n\r\n'
+MANY_HEADERS = b'a:\r\n' * 300 + CLOSE
 LARGE_CHUNKS = b'fa\r\n' + b'b' * 250 + b'\r\n'
 
 
@@ -32,6 +33,12 @@
 async def turns_of(*requests: bytes) -> int:
     """Send requests on connections of their own; return the turns taken."""
     turns = WorkTurns()
+    answers = await answers_to(turns, *requests)
+    assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
+    return turns.taken
+
+
+async def answers_to(turns: WorkTurns, *requests: bytes) -> list[bytes]:
     options = ReaderOptions(
         HEADER_NAMES,
         lambda: LIMITS,
@@ -46,8 +53,7 @@
         *(send(sock.getsockname()[1], one) for one in requests)
     )
     server.stop()
-    assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
-    return turns.taken
+    return answers
 
 
 async def send(port: int, request: bytes) -> bytes:
@@ -80,10 +86,28 @@
         # A further read may bring the last ones.
         ((chunks(900),), range(1, 4)),
         ((chunks(900), chunks(900)), range(2, 7)),
+        ((HEAD + b'a:\r\n' * 100 + CLOSE,), range(1)),
+        ((HEAD + MANY_HEADERS,), range(1, 2)),
+        ((HEAD + MANY_HEADERS, HEAD + MANY_HEADERS), range(2, 3)),
     ],
 )
-def test_turns_grow_with_the_number_of_chunks(
+def test_turns_grow_with_the_number_of_parts(
     requests: tuple[bytes, ...], turns: range
 ) -> None:
     """Those of ordinary requests need none."""
     assert asyncio.run(turns_of(*requests)) in turns
+
+
+def test_head_that_gets_no_turn_is_refused_as_not_run() -> None:
+    """Guards against a host that hangs on heads with many headers."""
+
+    async def scenario() -> bytes:
+        turns = WorkTurns()
+        async with turns._lock:
+            (answer,) = await answers_to(turns, HEAD + MANY_HEADERS)
+        return answer
+
+    answer = asyncio.run(scenario())
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'"not-run"' in answer
+    assert b'retry-after' in answer
--- a/foxtailreach/tests/platform/crowds_tests.py
+++ b/foxtailreach/tests/platform/crowds_tests.py
@@ -174,6 +174,8 @@
     'tiny-chunks': chunked('/safe/x'),
     'tiny-chunks-no-route': chunked('/none/x'),
     'tiny-chunks-no-key': chunked('/safe/x', 'nobody'),
+    'tiny-headers': ahead('/safe/x', extra=TINY_HEADERS),
+    'tiny-headers-no-key': ahead('/safe/x', extra=TINY_HEADERS, key='nobody'),
     'slashes': ahead(f'/safe/{SLASHES}'),
     'slashes-no-route': ahead(f'/none{SLASHES}x'),
 }
