Bound connections to targets and requests ahead by the descriptors

What callers saw: nothing at first. `mixed-all` got 503 for an ordinary request.

Cause: only connections of callers were bounded. Each of them could have 17 requests at targets, each with a connection of its own, and idle connections to targets were kept without a bound.

Change: what callers leave of the descriptors, less ten for hosts and the store, bounds the connections to targets. A service may use as many of them as are left, so that a slow one leaves some to others; a request beyond that is refused with 503 (not run) at once. The oldest idle connection makes room for a new one. Requests ahead of an answer may use an eighth; the others are read when the answers before them are sent. With 4,100 descriptors these are 965, 482 for one service, and 120: a host of one core has some 100 requests at targets.

--- a/foxtailreach/core/caller_connections.py
+++ b/foxtailreach/core/caller_connections.py
@@ -15,6 +15,12 @@
 # Share of the others that callers may use; targets and hosts use the rest.
 CALLER_SHARE = 0.75
 MIN_CONNECTIONS = 16
+# Of the rest, for hosts, the store and who asks for readiness or metrics.
+HOST_DESCRIPTORS = 10
+MIN_TARGET_CONNECTIONS = 8
+# Requests ahead may use this share of the connections to targets.
+REQUESTS_AHEAD_SHARE = 0.125
+MIN_REQUESTS_AHEAD = 4
 # One in so many idle connections is closed at a time, so that the choice is not
 # made for each new connection.
 VICTIMS_SHARE = 32
@@ -39,6 +45,19 @@
     return max(MIN_CONNECTIONS, int(usable * CALLER_SHARE))
 
 
+def max_target_connections(max_descriptors: int) -> int:
+    """Return the bound on the connections to targets of a host."""
+    usable = max_descriptors - FILE_DESCRIPTORS
+    left = usable - max_connections(max_descriptors) - HOST_DESCRIPTORS
+    return max(MIN_TARGET_CONNECTIONS, left)
+
+
+def max_requests_ahead(max_descriptors: int) -> int:
+    """Return how many requests a host reads ahead of earlier answers."""
+    connections = max_target_connections(max_descriptors)
+    return max(MIN_REQUESTS_AHEAD, int(connections * REQUESTS_AHEAD_SHARE))
+
+
 class AddressCounts:
     """Open connections by the address of their caller."""
 
--- a/foxtailreach/gateway/caller_memory.py
+++ b/foxtailreach/gateway/caller_memory.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from foxtailreach.core.caller_connections import max_requests_ahead
 from foxtailreach.gateway.answer_memory import AnswerMemory
 from foxtailreach.gateway.body_memory import BodyBudget
 from foxtailreach.gateway.host_memory import HostMemory
@@ -34,7 +35,7 @@
             total,
             BodyBudget(settings.max_body_memory_bytes, total),
             AnswerMemory(settings.max_answer_memory_bytes, total),
-            ReadAhead(total),
+            ReadAhead(total, max_requests_ahead(settings.max_descriptors)),
         )
 
     def reader_options(
--- a/foxtailreach/gateway/daemon.py
+++ b/foxtailreach/gateway/daemon.py
@@ -24,7 +24,7 @@
 from foxtailreach.core.dispatch.fleet import FleetConfig, FleetNode
 from foxtailreach.core.units import MILLISECOND_US
 from foxtailreach.daemon.clock import boot_time_us, wall_ms
-from foxtailreach.gateway import explain_page, logs
+from foxtailreach.gateway import explain_page, logs, target_limit
 from foxtailreach.gateway.caller_memory import CallerMemory
 from foxtailreach.gateway.frontend import Frontend
 from foxtailreach.gateway.http_types import (
@@ -91,8 +91,11 @@
         self._node = FleetNode.from_config(config, rng, boot_time_us())
         self._peers = PeerEndpoint(self._receive, self._node.announcement)
         self._router = MessageRouter(self._node, self._peers.send)
+        self._target_limit = target_limit.TargetLimit.from_descriptors(
+            settings.max_descriptors
+        )
         self._upstream = Upstream(
-            options.header_names, self._node.withhold_cause
+            options.header_names, self._node.withhold_cause, self._target_limit
         )
         self._metrics = GatewayMetrics()
         self._routine_lines = logs.RoutineLineLimiter()
@@ -104,6 +107,7 @@
             options.priority,
             self._record,
             rng,
+            self._target_limit,
         )
         self._memory = CallerMemory.from_settings(settings)
         self._frontend = Frontend(
@@ -289,6 +293,7 @@
             'caller_connections': len(self._frontend.connections),
             'connections_closed_for_others': self._frontend.limit.closed,
             'connections_refused': self._frontend.limit.refused,
+            'requests_at_targets': self._target_limit.in_use,
             'connections_opened': self._upstream.opened,
             'connections_reused': self._upstream.reused,
             'datagrams_sent': self._peers.sent,
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -38,6 +38,7 @@
     RequestTrace,
     refusal,
 )
+from foxtailreach.gateway.target_limit import TargetLimit
 from foxtailreach.gateway.upstream import TargetAnswer, Upstream
 
 # Bound on attempts that ended before a byte was sent; `max_attempts` of a
@@ -55,6 +56,7 @@
 RENEW_CHARGE_AFTER_US = 120 * MILLISECOND_US
 # Another host can serve the request at once.
 STOPPING_RETRY_US = 50 * MILLISECOND_US
+CROWDED_RETRY_US = 300 * MILLISECOND_US
 METER_RETRY_AFTER_US = 300 * MILLISECOND_US
 _FINGERPRINT_BITS = 63
 _MAY_HAVE_RUN = frozenset(
@@ -121,6 +123,7 @@
         '_node',
         '_record_request',
         '_rng',
+        '_target_limit',
         '_upstream',
         '_waiting',
     )
@@ -133,8 +136,10 @@
         priority: GetPriority,
         record: RecordRequest,
         rng: random.Random,
+        target_limit: TargetLimit | None = None,
     ) -> None:
         """Serve with the state of `node`; call `record` for each request."""
+        self._target_limit = target_limit or TargetLimit()
         self._node = node
         self._fleet_client = fleet_client
         self._upstream = upstream
@@ -350,6 +355,8 @@
             requested_us = boot_time_us()
             if requested_us >= context.deadline_us:
                 return _deadline_answer(context)
+            if not self._target_limit.has_room(context.service):
+                return _crowded_answer(context)
             slot = await self._acquire(context, requested_us)
             if slot is None:
                 return _failure_answer(
@@ -358,16 +365,28 @@
                 )
             if isinstance(slot, messages.SlotRefused):
                 return _refused_answer(context, slot)
+            answer = await self._send(context, slot, requested_us)
+            if isinstance(answer, CallerAnswer):
+                return answer
+            if answer.outcome in _MAY_HAVE_RUN:
+                context.may_have_run = answer
+            if not self._may_retry(context, answer):
+                return _final_answer(context, answer)
+
+    async def _send(
+        self, context: RequestContext, slot: GrantedSlot, requested_us: int
+    ) -> TargetAnswer | CallerAnswer:
+        """Send a request with a slot; return the refusal if it must not be."""
+        if not self._target_limit.has_room(context.service):
+            self._return_slot(context, slot)
+            return _crowded_answer(context)
+        with self._target_limit.use(context.service):
             refused = await self._confirm_charge(context, slot)
             if refused is not None:
                 return _failure_answer(
                     context, self._limited_answer(context, refused)
                 )
-            answer = await self._attempt(context, slot, requested_us)
-            if answer.outcome in _MAY_HAVE_RUN:
-                context.may_have_run = answer
-            if not self._may_retry(context, answer):
-                return _final_answer(context, answer)
+            return await self._attempt(context, slot, requested_us)
 
     async def _acquire(
         self, context: RequestContext, requested_us: int
@@ -625,6 +644,13 @@
     )
 
 
+def _crowded_answer(context: RequestContext) -> CallerAnswer:
+    """Answer a request whose service uses its share of the connections."""
+    return _failure_answer(
+        context, _unavailable_answer(Reason.OVERLOAD, CROWDED_RETRY_US)
+    )
+
+
 def _deadline_answer(context: RequestContext) -> CallerAnswer:
     return _failure_answer(
         context, _unavailable_answer(Reason.DEADLINE, NOT_READY_RETRY_US)
--- a/foxtailreach/gateway/upstream.py
+++ b/foxtailreach/gateway/upstream.py
@@ -35,6 +35,7 @@
     forwarded_headers,
 )
 from foxtailreach.gateway.notice_reader import read_notice
+from foxtailreach.gateway.target_limit import TargetLimit
 from foxtailreach.gateway.target_protocol import (
     ConnectionLostError,
     check_response,
@@ -311,15 +312,25 @@
     __slots__ = (
         '_header_names',
         '_idle',
+        '_idle_count',
+        '_limit',
         '_withhold_cause',
         'opened',
         'reused',
     )
 
     def __init__(
-        self, header_names: HeaderNames, withhold_cause: WithholdCause
+        self,
+        header_names: HeaderNames,
+        withhold_cause: WithholdCause,
+        limit: TargetLimit | None = None,
     ) -> None:
-        """Create an empty pool; `withhold_cause` is asked before each send."""
+        """Create an empty pool; `withhold_cause` is asked before each send.
+
+        Idle connections are closed where `limit` would be exceeded.
+        """
+        self._limit = TargetLimit() if limit is None else limit
+        self._idle_count = 0
         self._header_names = header_names
         self._withhold_cause = withhold_cause
         self._idle: dict[tuple[str, int], deque[TargetConnection]] = {}
@@ -332,6 +343,7 @@
             for connection in connections:
                 connection.close()
         self._idle.clear()
+        self._idle_count = 0
 
     def connected_targets(self, now_us: int) -> tuple[str, ...]:
         """Return the ids of the targets with a usable idle connection."""
@@ -363,6 +375,7 @@
         )
         is_reused = connection is not None
         if connection is None:
+            self._close_surplus()
             connection = await _connect(grant, deadline_us - now_us)
             if connection is None:
                 return TargetAnswer(SendOutcome.UNREACHABLE)
@@ -495,6 +508,20 @@
             headers=headers,
         )
 
+    def _close_surplus(self) -> None:
+        """Close idle connections, as a new one needs a descriptor.
+
+        Their targets are in the order in which they became idle.
+        """
+        limit = self._limit
+        while self._idle_count + limit.in_use > limit.max_connections:
+            key = next(iter(self._idle), None)
+            if key is None:
+                return
+            self._idle[key].popleft().close()
+            self._idle_count -= 1
+            self._remove_if_empty(key)
+
     def _take_idle_connection(
         self,
         key: tuple[str, int],
@@ -505,6 +532,7 @@
         connections = self._idle.get(key, deque())
         while connections:
             connection = connections.pop()
+            self._idle_count -= 1
             limit_us = connection.idle_limit_us
             if not is_repeatable:
                 limit_us = min(limit_us, AT_MOST_ONCE_IDLE_LIMIT_US)
@@ -525,6 +553,7 @@
             return
         connection.mark_idle(boot_time_us())
         self._idle.setdefault(key, deque()).append(connection)
+        self._idle_count += 1
 
     def _close_expired(self, now_us: int) -> None:
         for key, connections in list(self._idle.items()):
@@ -537,6 +566,7 @@
                     kept.append(connection)
                 else:
                     connection.close()
+                    self._idle_count -= 1
             self._idle[key] = kept
             self._remove_if_empty(key)
 
--- a/foxtailreach/tests/platform/crowds_tests.py
+++ b/foxtailreach/tests/platform/crowds_tests.py
@@ -166,7 +166,11 @@
 
 
 HOLDING: dict[str, Caller] = {
+    'ahead-read': ahead('/safe/slow', extra=COOKIE),
+    'ahead-unread': ahead('/safe/slow', extra=COOKIE, reads=False),
+    'ahead-medium': ahead('/safe/medium', reads=False),
     'ahead-large': ahead('/safe/large', extra=COOKIE, reads=False),
+    'ahead-bodies': send_body_ahead,
     'slow-chunks': slow_reader('/safe/large-chunks'),
     'slow-unframed': slow_reader('/safe/large-unframed'),
 }
@@ -179,7 +183,21 @@
     'slashes': ahead(f'/safe/{SLASHES}'),
     'slashes-no-route': ahead(f'/none{SLASHES}x'),
 }
-MIXED: dict[str, Caller] = {}
+MIXED: dict[str, Caller] = {
+    'mixed-holding': in_turn(
+        send_slow_body,
+        slow_reader('/safe/large'),
+        ahead('/safe/slow', extra=COOKIE, reads=False),
+        send_body_ahead,
+    ),
+    'mixed-sizes': in_turn(
+        slow_reader('/safe/large-chunks'),
+        slow_reader('/safe/medium-unframed'),
+        slow_reader('/safe/large'),
+        ahead('/safe/medium', reads=False),
+    ),
+    'mixed-all': in_turn(*HOLDING.values(), *WORKING.values(), send_slow_body),
+}
 CROWDS = {
     **{kind: Crowd(caller, CALLERS) for kind, caller in HOLDING.items()},
     **{kind: Crowd(caller, BUSY_CALLERS) for kind, caller in WORKING.items()},
