Let refusals reach callers that are still sending

What callers saw: a reset in place of the refusal, so that they did not learn that their request had not run: with a body over the limit, malformed chunks, two lengths, a long head, or on a connection that was refused as the host has no more.

Cause: the connection was closed right behind the answer. A close with unread bytes resets the connection, and what the caller has not read is gone.

Change: after the answer to a request that was not read, and to a connection that is refused, the writing side is closed, and what arrives is discarded until the caller closes, for 1 s at most. 32 refused connections are kept that long at the same time; further ones are closed at once.

--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -17,11 +17,12 @@
 from foxtailreach.gateway.answer_writer import encode_answer, write_parts
 from foxtailreach.gateway.backlog import Backlog
 from foxtailreach.gateway.caller_limit import CallerLimit, refusal_bytes
-from foxtailreach.gateway.chunk_reader import close_stream
+from foxtailreach.gateway.chunk_reader import ChunkReader, close_stream
 from foxtailreach.gateway.http_types import (
     CallerAnswer,
     CallerRequest,
 )
+from foxtailreach.gateway.lingering_close import close_lingering, discard_all
 from foxtailreach.gateway.pending_answer import (
     PendingAnswer,
     rejected_answer,
@@ -35,6 +36,8 @@
 MAX_PIPELINED_REQUESTS = 16
 # Read buffer of a connection, which bounds the memory for a body.
 MAX_BUFFER_BYTES = 80 * 1024 * 1024
+# Refused connections that are kept until their callers have the answer.
+MAX_LINGERING = 32
 MIN_IDLE_WAIT_US = 10 * MILLISECOND_US
 
 Handle = Callable[[CallerRequest], Awaitable[CallerAnswer]]
@@ -56,6 +59,7 @@
         self.connections: set[CallerConnection] = set()
         self._options = options
         self._handle = handle
+        self._refused = 0
 
     @property
     def is_idle(self) -> bool:
@@ -74,16 +78,27 @@
         This is decided at once, as many are accepted at a time.
         """
         if not self.limit.admit(address[0], self.connections):
-            with suppress(StreamClosedError):
-                stream.write(refusal_bytes())
-            stream.close()
-            return None
+            return self._refuse(stream)
         stream.set_nodelay(True)
         connection = CallerConnection(stream, self._options, self._handle, self)
         connection.address = address[0]
         self.connections.add(connection)
         return self._serve(connection)
 
+    async def _refuse(self, stream: IOStream) -> None:
+        """Answer and close a connection before anything is read from it."""
+        with suppress(StreamClosedError):
+            await stream.write(refusal_bytes())
+        if self._refused >= MAX_LINGERING:
+            stream.close()
+            return
+        self._refused += 1
+        try:
+            chunks = ChunkReader(stream)
+            await close_lingering(stream, lambda: discard_all(chunks))
+        finally:
+            self._refused -= 1
+
     async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
@@ -340,6 +355,9 @@
         self._release_answer(pending)
         self.backlog.remove()
         self._idle_since_us = boot_time_us()
+        if pending.request is None:
+            await close_lingering(self._stream, self._reader.discard)
+            return False
         if must_close or parser.our_state is h11.MUST_CLOSE:
             self._stream.close()
             return False
