--- a/foxtailreach/gateway/frontend.py
+++ b/foxtailreach/gateway/frontend.py
@@ -348,10 +348,14 @@
             logger.error('answer cannot be sent: {}', error)
             self._stream.close()
             return False
+        idle_s = self._options.limits().idle_timeout_us / SECOND_US
         try:
-            await self._write_parts(parts)
+            await write_parts(self._stream, parts, idle_s)
         except StreamClosedError:
             return False
+        except TimeoutError:
+            logger.info('a caller does not read its answer')
+            return False
         self._release_answer(pending)
         self.backlog.remove()
         self._idle_since_us = boot_time_us()
@@ -363,15 +367,6 @@
             return False
         return True
 
-    async def _write_parts(self, parts: list[bytes | bytearray]) -> None:
-        """Write an answer; close the connection if the caller does not read."""
-        idle_s = self._options.limits().idle_timeout_us / SECOND_US
-        try:
-            await write_parts(self._stream, parts, idle_s)
-        except TimeoutError:
-            logger.info('a caller does not read its answer')
-            self._stream.close()
-
     def _release_answer(self, pending: PendingAnswer) -> None:
         """Return the memory of an answer that was sent."""
         if pending.request is not None:
