Send crowds in the soak, beside signals and restarts

A fault of the soak lets six callers of one kind of `crowds_tests.py` misbehave at a host for up to three seconds, also while it is stopped, killed or paused. At the end every host must be within the 200 MB of its settings.

--- a/foxtailreach/tests/platform/soak.py
+++ b/foxtailreach/tests/platform/soak.py
@@ -17,6 +17,7 @@
 
 import h11
 
+from foxtailreach.tests.platform.crowds_tests import CROWDS
 from foxtailreach.tests.platform.end_to_end_tests import (
     Answer,
     Fleet,
@@ -25,7 +26,9 @@
     request_bytes,
     start_fleet,
 )
+from foxtailreach.tests.platform.endless_answers_tests import peak_memory_mb
 from foxtailreach.tests.platform.fakes import Target
+from foxtailreach.tests.platform.untrusted_callers_tests import Crowd, repeat
 
 HEARTBEAT_S = 1.5
 FAULT_SERIES = 3
@@ -39,6 +42,9 @@
 READ_S = 0.2
 RECOVERY_S = 15.0
 MAX_TARGETS = 8
+CROWD_SIZE = 6
+# The default of a host.
+MEMORY_MB = 200
 
 
 @dataclass(slots=True)
@@ -53,6 +59,19 @@
     answer: Answer | None = None
 
 
+class OneHost(Fleet):
+    """A fleet whose hosts all have the address of one of them."""
+
+    def __init__(self, fleet: Fleet, host: str) -> None:
+        """Stand for a host of a fleet."""
+        super().__init__(fleet.store, [], fleet.folder, fleet.port)
+        self._address = fleet.address(host)
+
+    def address(self, name: str) -> str:
+        """Return the address of this host."""
+        return self._address
+
+
 @dataclass(slots=True)
 class Kill:
     """A kill of a host, and when its next process was started."""
@@ -140,6 +159,7 @@
             self._add_target,
             self._take_store_down,
             self._refuse_calls,
+            self._send_crowd,
         ]
         while not self.is_over():
             await self.rng.choice(faults)()
@@ -156,6 +176,13 @@
         except (TimeoutError, OSError) as error:
             self.violations.append(f'RECOVER: {error!r}')
 
+    def check_memory(self) -> None:
+        """Expect all hosts to stay within their memory."""
+        for host, process in self.fleet.processes.items():
+            memory_mb = peak_memory_mb(process.pid)
+            if memory_mb > MEMORY_MB:
+                self.violations.append(f'MEMORY: {host} {memory_mb:.0f} MB')
+
     def check(self) -> list[str]:
         """Return all violations of the promises."""
         ran: dict[str, list[tuple[str, float]]] = {}
@@ -440,6 +467,23 @@
             targets.append(target)
             await self._put(target, target.entry())
 
+    async def _send_crowd(self) -> None:
+        """Let callers of one kind misbehave at a host, also while it stops."""
+        host = self.rng.choice(sorted(self.fleet.processes))
+        kind = self.rng.choice(sorted(CROWDS))
+        since_s = self.now_s()
+        one_host = OneHost(self.fleet, host)
+        crowd = Crowd(CROWDS[kind].caller, CROWD_SIZE)
+        callers = [
+            asyncio.ensure_future(repeat(crowd, one_host, index))
+            for index in range(CROWD_SIZE)
+        ]
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        self.disturbed.append((host, since_s, self.now_s() + CONTACT_S))
+
     async def _refuse_calls(self) -> None:
         """Refuse a few hosts, while the store serves targets and others."""
         self.fleet.store.refusals_left = self.rng.randint(1, 3)
@@ -474,5 +518,6 @@
             for _ in range(FAULT_SERIES):
                 group.create_task(soak.run_faults())
         await soak.check_recovery()
+        soak.check_memory()
         heartbeats.cancel()
         return soak.check()
