--- a/foxtailreach/tests/platform/crowds_tests.py
+++ b/foxtailreach/tests/platform/crowds_tests.py
@@ -12,7 +12,7 @@
 import contextlib
 import functools
 import itertools
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +29,7 @@
 )
 from foxtailreach.tests.platform.untrusted_callers_tests import (
     LARGE_BODY_BYTES,
+    LARGE_BYTES,
     MAX_FDS,
     MEMORY_MB,
     OBSERVED_S,
@@ -54,8 +55,13 @@
 TINY_HEADERS = b'a:\r\n' * 3000
 SLASHES = '/' * 15_000
 TINY_CHUNKS = b'1\r\nb\r\n' * 10_000
+TINY_TRAILERS = b'1\r\nb\r\n0\r\n' + b'a:\r\n' * 3000 + b'\r\n'
+LONG_EXTENSIONS = (b'1;' + b'e' * 8000 + b'\r\nb\r\n') * 10
+PERCENTS = '%61' * 5000
 BODY_AHEAD_BYTES = 30_000
 REQUESTS_AHEAD = 18
+# Their answers are less than half of the memory for answers.
+DOWNLOADS = 8
 # All connections that a host with so many descriptors admits are 75.
 CALLERS = 70
 BUSY_CALLERS = 40
@@ -102,12 +108,14 @@
     return functools.partial(send_ahead, itertools.repeat(one), reads=reads)
 
 
-def chunked(path: str, key: str = CROWD_KEY) -> Caller:
+def chunked(
+    path: str, key: str = CROWD_KEY, chunks: bytes = TINY_CHUNKS
+) -> Caller:
     """Return a caller that sends a body in chunks of one byte."""
     start = head(path, b'Transfer-Encoding: chunked\r\n', key, 'POST')
 
     async def send(fleet: Fleet, index: int) -> None:
-        parts = itertools.chain((start,), itertools.repeat(TINY_CHUNKS))
+        parts = itertools.chain((start,), itertools.repeat(chunks))
         await send_ahead(parts, fleet, index)
 
     return send
@@ -171,13 +179,23 @@
     'ahead-medium': ahead('/safe/medium', reads=False),
     'ahead-large': ahead('/safe/large', extra=COOKIE, reads=False),
     'ahead-bodies': send_body_ahead,
+    'ahead-headers': ahead('/safe/slow', extra=TINY_HEADERS, reads=False),
+    'ahead-leave': leave_ahead,
     'slow-chunks': slow_reader('/safe/large-chunks'),
+    'slow-length': slow_reader('/safe/large'),
     'slow-unframed': slow_reader('/safe/large-unframed'),
 }
 WORKING: dict[str, Caller] = {
     'tiny-chunks': chunked('/safe/x'),
     'tiny-chunks-no-route': chunked('/none/x'),
     'tiny-chunks-no-key': chunked('/safe/x', 'nobody'),
+    'long-extensions': chunked('/safe/x', chunks=LONG_EXTENSIONS),
+    'tiny-trailers': ahead(
+        '/safe/x',
+        extra=b'Transfer-Encoding: chunked\r\n\r\n' + TINY_TRAILERS[:-2],
+        method='POST',
+    ),
+    'percents': ahead(f'/safe/{PERCENTS}'),
     'tiny-headers': ahead('/safe/x', extra=TINY_HEADERS),
     'tiny-headers-no-key': ahead('/safe/x', extra=TINY_HEADERS, key='nobody'),
     'slashes': ahead(f'/safe/{SLASHES}'),
@@ -242,13 +260,10 @@
     await asyncio.sleep(2)
 
 
-@pytest.mark.parametrize('kind', CROWDS)
-def test_crowd_leaves_a_host_within_its_limits(
-    kind: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against a host that ends or hangs through a crowd of callers."""
+@pytest.fixture
+def limited_hosts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Give hosts few descriptors and little memory."""
     settings = Fleet.settings
-    crowd = CROWDS[kind]
 
     def with_limits(fleet: Fleet, name: str) -> str:
         text = settings(fleet, name)
@@ -257,27 +272,65 @@
 
     monkeypatch.setattr(Fleet, 'settings', with_limits)
 
-    async def scenario(stack: contextlib.AsyncExitStack) -> None:
-        fleet = await stack.enter_async_context(start_fleet(tmp_path, 1))
+
+@contextlib.asynccontextmanager
+async def host_with_crowd(
+    folder: Path, crowd: Crowd
+) -> AsyncIterator[tuple[Fleet, list[asyncio.Task[None]]]]:
+    """Start a host, two services, and then a crowd."""
+    async with asyncio.timeout(60), contextlib.AsyncExitStack() as stack:
+        fleet = await stack.enter_async_context(start_fleet(folder, 1))
         await start_targets(fleet, stack)
         assert (await ordinary_request(fleet)).status == 200
-        process = fleet.processes['h1']
         callers = [
             asyncio.ensure_future(repeat(crowd, fleet, index))
             for index in range(crowd.size)
         ]
-        descriptors = await most_descriptors(process.pid, OBSERVED_S)
-        answer = await ordinary_request(fleet)
-        await stop(callers)
-        memory_mb = peak_memory_mb(process.pid)
-        print(f'{kind}: {memory_mb:.0f} MB, {descriptors} fds, {answer}')
-        assert process.returncode is None
-        assert memory_mb < MEMORY_MB
-        assert descriptors < MAX_FDS
-        assert answer.status == 200
+        yield fleet, callers
+
+
+@pytest.mark.usefixtures('limited_hosts')
+@pytest.mark.parametrize('kind', CROWDS)
+def test_crowd_leaves_a_host_within_its_limits(
+    kind: str, tmp_path: Path
+) -> None:
+    """Guards against a host that ends or hangs through a crowd of callers."""
+
+    async def main() -> None:
+        async with host_with_crowd(tmp_path, CROWDS[kind]) as (fleet, callers):
+            process = fleet.processes['h1']
+            descriptors = await most_descriptors(process.pid, OBSERVED_S)
+            answer = await ordinary_request(fleet)
+            await stop(callers)
+            memory_mb = peak_memory_mb(process.pid)
+            print(f'{kind}: {memory_mb:.0f} MB, {descriptors} fds, {answer}')
+            assert process.returncode is None
+            assert memory_mb < MEMORY_MB
+            assert descriptors < MAX_FDS
+            assert answer.status == 200
+
+    asyncio.run(main())
+
+
+@pytest.mark.usefixtures('limited_hosts')
+@pytest.mark.parametrize('kind', ['slow-chunks', 'slow-length'])
+def test_downloads_of_others_are_whole_beside_slow_readers(
+    kind: str, tmp_path: Path
+) -> None:
+    """Guards against answers that are given up for those of slow readers."""
 
     async def main() -> None:
-        async with asyncio.timeout(60), contextlib.AsyncExitStack() as stack:
-            await scenario(stack)
+        async with host_with_crowd(tmp_path, CROWDS[kind]) as (fleet, callers):
+            await asyncio.sleep(OBSERVED_S)
+            answers = await asyncio.gather(
+                *(
+                    fleet.request('h1', '/a/large', method='POST', body=b'b')
+                    for _ in range(DOWNLOADS)
+                )
+            )
+            await stop(callers)
+            seen = [(one.status, len(one.body)) for one in answers]
+            print(kind, seen)
+            assert seen == [(200, LARGE_BYTES)] * DOWNLOADS
 
     asyncio.run(main())
