Ask for a body behind the answers to earlier requests

Cause: the reader of requests wrote it at once, beside the writer of answers.

Change: it is written when all earlier requests are answered. If the body arrives before, it is not asked for.

--- a/foxtailreach/gateway/body_reader.py
+++ b/foxtailreach/gateway/body_reader.py
@@ -32,7 +32,7 @@
 # A caller must send so many bytes of a body within the idle timeout.
 BODY_PIECE_BYTES = 65_536
 
-# Called before each read from the caller.
+# Called before a read, until a part of the body has arrived.
 BeforeRead = Callable[[], Awaitable[None]]
 
 
@@ -151,7 +151,8 @@
 
     async def _read_more(self, pace: _BodyPace, size_bytes: int) -> None:
         pace.expect_piece(self._size_bytes)
-        await self._before_read()
+        if not self._size_bytes:
+            await self._before_read()
         await self._buffer.read(size_bytes)
 
     def _add(self, received: bytes | bytearray) -> None:
--- a/foxtailreach/gateway/read_buffer.py
+++ b/foxtailreach/gateway/read_buffer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 
 from tornado.iostream import IOStream
@@ -61,6 +62,12 @@
         await self.read()
         return True
 
+    async def wait_unless(self, done: asyncio.Future[None]) -> None:
+        """Wait until bytes arrive or something else is done."""
+        await asyncio.wait(
+            (self._chunks.start(), done), return_when=asyncio.FIRST_COMPLETED
+        )
+
     async def read(self, size_bytes: int = READ_BYTES) -> None:
         """Wait for further bytes; raise StreamClosedError at the end."""
         self._chunks.read_bytes = size_bytes
--- a/foxtailreach/gateway/request_reader.py
+++ b/foxtailreach/gateway/request_reader.py
@@ -229,11 +229,23 @@
         ).read()
 
     async def _send_continue(self, parser: h11.Connection) -> None:
-        if parser.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            await self._stream.write(parser.send(continue_response) or b'')
+        """Ask for the body if the caller waits, behind all earlier answers.
+
+        If the body arrives before, it is not asked for.
+        """
+        if not parser.they_are_waiting_for_100_continue:
+            return
+        answered = asyncio.ensure_future(self._backlog.wait_until_empty())
+        try:
+            await self._buffer.wait_unless(answered)
+        finally:
+            answered.cancel()
+        if self._backlog.count:
+            return
+        continue_response = h11.InformationalResponse(
+            status_code=100, headers=[]
+        )
+        await self._stream.write(parser.send(continue_response) or b'')
 
     def _request(self, head: h11.Request, received_us: int) -> CallerRequest:
         """Build a request whose body has not been read."""
--- a/foxtailreach/tests/gateway/requests_ahead_tests.py
+++ b/foxtailreach/tests/gateway/requests_ahead_tests.py
@@ -195,3 +195,44 @@
 
     asyncio.run(scenario())
     assert not memory.held_bytes
+
+
+EXPECTING = (
+    HEAD.replace(b'r1', b'r2')
+    + b'expect: 100-continue\r\nconnection: close\r\ncontent-length: 2\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('waits', [True, False])
+def test_body_is_asked_for_behind_earlier_answers(waits: bool) -> None:
+    """Guards against 100 Continue in the middle of an answer (review 7)."""
+    body = b'x' * 3_000_000
+
+    async def work(request: CallerRequest) -> CallerAnswer:
+        if request.request_id == 'r2':
+            return await echo(request)
+        await asyncio.sleep(0.05)
+        return CallerAnswer(200, b'OK', [], body, Verdict.RAN)
+
+    async def scenario() -> bytes:
+        async with serving(work, HostMemory(100_000_000)) as (_, port):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(REQUEST + EXPECTING)
+            if not waits:
+                await asyncio.sleep(0.02)
+                writer.write(b'hi')
+            received = b''
+            async with asyncio.timeout(5):
+                while not received.endswith(b'hi'):
+                    received += await reader.read(65_536)
+                    if waits and received.endswith(b'100 \r\n\r\n'):
+                        writer.write(b'hi')
+            writer.close()
+            return received
+
+    received = asyncio.run(scenario())
+    start = received.index(b'\r\n\r\n') + 4
+    assert received[start : start + len(body)] == body
+    rest = received[start + len(body) :]
+    assert rest.startswith(b'HTTP/1.1 100' if waits else b'HTTP/1.1 200')
+    assert rest.count(b'HTTP/1.1 200') == 1
--- a/foxtailreach/tests/platform/crowds_tests.py
+++ b/foxtailreach/tests/platform/crowds_tests.py
@@ -3,7 +3,7 @@
 The callers of `untrusted_callers_tests` hold a connection, a body or an answer.
 Those here send requests ahead, use many small parts, or mix with others. The
 checks are the same: the process lives, its memory and descriptors stay within
-its settings, and an ordinary request is answered, mostly while the callers stay.
+its settings, and an ordinary request is answered, mostly while callers stay.
 """
 
 from __future__ import annotations
