Bound log lines that wait in bytes, and the ids in them

What a caller can make a host hold: each refused request writes a line with its id, which may have 16 kB (98 kB as JSON). While nobody reads the log, 2,000 lines wait.

Change: 4 MB of lines wait at most, and further ones are dropped and counted as before. Of an id, 128 characters are logged; it is passed on whole.

--- a/foxtailreach/gateway/logs.py
+++ b/foxtailreach/gateway/logs.py
@@ -17,6 +17,7 @@
 
 # Lines that are buffered while standard output would block.
 MAX_PENDING_LINES = 2000
+MAX_PENDING_BYTES = 4 * 1024 * 1024
 # Maximum rate of lines about requests that went well.
 MAX_ROUTINE_LINES_PER_S = 50
 _US_PER_S = 1_000_000
@@ -25,7 +26,13 @@
 class LineWriter:
     """Writes lines without blocking; drops and counts those over the buffer."""
 
-    __slots__ = ('_descriptor', '_partial', '_pending', 'dropped')
+    __slots__ = (
+        '_descriptor',
+        '_partial',
+        '_pending',
+        'dropped',
+        'pending_bytes',
+    )
 
     def __init__(self, descriptor: int) -> None:
         """Write to `descriptor`, which becomes non-blocking."""
@@ -33,14 +40,18 @@
         self._descriptor = descriptor
         self._pending: deque[bytes] = deque()
         self._partial = b''
+        self.pending_bytes = 0
         self.dropped = 0
 
     def write(self, line: str) -> None:
         """Write a line, or buffer it until the descriptor is writable."""
-        if len(self._pending) >= MAX_PENDING_LINES:
+        encoded = line.encode()
+        is_full = self.pending_bytes + len(encoded) > MAX_PENDING_BYTES
+        if is_full or len(self._pending) >= MAX_PENDING_LINES:
             self.dropped += 1
             return
-        self._pending.append(line.encode())
+        self.pending_bytes += len(encoded)
+        self._pending.append(encoded)
         self.flush()
 
     def flush(self) -> None:
@@ -56,6 +67,7 @@
                 # The reader has gone; drop the line and keep serving.
                 self.dropped += 1
                 count = len(chunk)
+            self.pending_bytes -= count
             self._partial = chunk[count:]
 
 
--- a/foxtailreach/gateway/proxy.py
+++ b/foxtailreach/gateway/proxy.py
@@ -58,6 +58,8 @@
 STOPPING_RETRY_US = 50 * MILLISECOND_US
 CROWDED_RETRY_US = 300 * MILLISECOND_US
 METER_RETRY_AFTER_US = 300 * MILLISECOND_US
+# Of an id that a caller chose, in log lines.
+MAX_LOGGED_ID_CHARS = 128
 _FINGERPRINT_BITS = 63
 _MAY_HAVE_RUN = frozenset(
     (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.TIMED_OUT),
@@ -172,7 +174,7 @@
 
     async def check_head(self, request: CallerRequest) -> Rejection | None:
         """Return why a request is rejected whatever its body is, if it is."""
-        trace = RequestTrace(request.request_id)
+        trace = RequestTrace(request.request_id[:MAX_LOGGED_ID_CHARS])
         # `handle` waits for targets; waiting here too would double the time.
         found = await self._find_route(request, trace, needs_targets=False)
         if isinstance(found, CallerAnswer):
@@ -182,7 +184,7 @@
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer one request and record what happened to it."""
         rejection = request.rejection
-        trace = RequestTrace(request.request_id)
+        trace = RequestTrace(request.request_id[:MAX_LOGGED_ID_CHARS])
         if rejection is not None:
             trace = rejection.trace
         answer = refusal(
@@ -536,7 +538,7 @@
         service: str,
     ) -> messages.SlotRequest:
         """Build the first request for a slot that a request would lead to."""
-        trace = RequestTrace(request.request_id)
+        trace = RequestTrace(request.request_id[:MAX_LOGGED_ID_CHARS])
         trace.service = service
         context = _create_context(request, route, customer, trace)
         return self._slot_request(context, request.received_us)
