--- a/foxtailreach/gateway/answer_body.py
+++ b/foxtailreach/gateway/answer_body.py
@@ -8,7 +8,7 @@
 
 
 class BodyState(Enum):
-    """How far a body is; it leaves RECEIVING once."""
+    """State of a body; the last two are final."""
 
     RECEIVING = auto()
     WHOLE = auto()
@@ -19,7 +19,7 @@
     """The memory of an answer was needed for others."""
 
     def __init__(self) -> None:
-        """Say so."""
+        """Use the text that log lines and traces show."""
         super().__init__('answer was given up, as the memory is used up')
 
 
--- a/foxtailreach/gateway/chunked_body.py
+++ b/foxtailreach/gateway/chunked_body.py
@@ -1,7 +1,7 @@
 """Decodes bodies that are sent in chunks (RFC 9112, section 7.1).
 
 The HTTP library is not used for them, as it keeps all bytes that follow, and
-takes ten times as long for chunks of one byte.
+takes three times as long for chunks of one byte.
 """
 
 from __future__ import annotations
--- a/foxtailreach/gateway/host_memory.py
+++ b/foxtailreach/gateway/host_memory.py
@@ -1,7 +1,7 @@
 """Counts all that a host holds for its callers, against one limit.
 
-Load pattern: some callers make a host hold much. Whatever kind of memory runs
-short, the one that holds the most gives way, before others are refused.
+Load pattern: some callers make a host hold much. When the limit is reached, the
+largest body or answer is given up before smaller requests are refused.
 """
 
 from __future__ import annotations
--- a/foxtailreach/gateway/read_ahead.py
+++ b/foxtailreach/gateway/read_ahead.py
@@ -1,7 +1,8 @@
 """Decides when requests are read that were sent ahead of earlier answers.
 
 Load pattern: many callers send many requests without waiting. Reading them
-early is a favour; it must not take the memory that first requests need.
+early is optional, so it must not take the memory and descriptors that the
+first request of each connection needs.
 """
 
 from __future__ import annotations
--- a/foxtailreach/gateway/read_buffer.py
+++ b/foxtailreach/gateway/read_buffer.py
@@ -22,7 +22,7 @@
 
 
 class ReadBuffer:
-    """The only buffer of a caller's connection; counts what it holds."""
+    """Buffers what a caller has sent; counts the memory of the connection."""
 
     __slots__ = (
         '_chunks',
--- a/foxtailreach/gateway/target_limit.py
+++ b/foxtailreach/gateway/target_limit.py
@@ -14,8 +14,8 @@
 class TargetLimit:
     """Bounds the requests that are at targets, below the descriptors.
 
-    Load pattern: callers send many requests to a slow service. It may use as
-    many connections as are left to others, so that others always find some.
+    Load pattern: callers send many requests to a slow service. A service may
+    use at most as many connections as are free, so that others find some.
     """
 
     __slots__ = ('_in_use', 'in_use', 'max_connections')
--- a/foxtailreach/gateway/work_turns.py
+++ b/foxtailreach/gateway/work_turns.py
@@ -14,7 +14,7 @@
 PARTS_PER_STEP = 256
 # A head with more lines waits for its turn.
 FREE_HEAD_LINES = 128
-# Several times what a part takes, so that most of the time is for others.
+# Twice what a chunk takes, which leaves most of the time to others.
 REST_PER_PART_US = 8
 
 
@@ -34,7 +34,7 @@
     async def wait(self, parts: int) -> None:
         """Wait until the caller may handle some parts without a pause.
 
-        The time that others get meanwhile grows with the parts.
+        Waits longer for more parts; other tasks run meanwhile.
         """
         async with self._lock:
             self.taken += 1
